--- a/src/rules.rs
+++ b/src/rules.rs
@@ -238,6 +238,8 @@
     mean_weight: f64,
     subscribed: bool,
     failures: u32,
+    /// The next list call is not made before.
+    call_due: Time,
     started: bool,
 }
 
@@ -279,6 +281,7 @@
             mean_weight: 1.0,
             subscribed: false,
             failures: 0,
+            call_due: Time(0),
             started: false,
             set,
         }
@@ -291,7 +294,7 @@
             (self.stepped, self.born) = (now, now);
             let first = Span(self.rng.random_range(1..=self.window.0));
             todo.push(Action::Timer { token: STEP, delay: first });
-            self.call_list(todo);
+            self.call_list(now, todo);
         }
         match event {
             Event::Members { kind, entries } => self.on_members(now, kind, entries, todo),
@@ -361,7 +364,7 @@
             }
             Event::Timer { token: LOOKED } if self.looking => self.looked(now, todo),
             Event::Timer { token: HELD } => self.serve_held(now, true, todo),
-            Event::Timer { token: CALL } => self.call_list(todo),
+            Event::Timer { token: CALL } => self.call_list(now, todo),
             Event::Peer { from, data } => self.on_peer(now, from, data),
             Event::Timer { .. } => {}
         }
@@ -930,6 +933,7 @@
                 let most = most.min(CALL_AGAIN.1.0).min(self.set.safety.ask_within.0 / 4).max(2);
                 let delay = Span(self.rng.random_range(most / 2..=most));
                 self.subscribed = false;
+                self.call_due = now + delay;
                 todo.push(Action::Timer { token: CALL, delay });
                 if self.failures == 3 {
                     todo.push(Action::Log { server: None, text: "three list calls failed in a row".into() });
@@ -992,11 +996,13 @@
     }
 
     /// Subscribes to changes where lists come only on request, and again where no reply came for long: an
-    /// instance that neither asks nor is subscribed counts as told after `ask_within`.
-    fn call_list(&mut self, todo: &mut Vec<Action>) {
-        if self.set.discovery == Discovery::OnRequest && !self.subscribed {
-            todo.push(Action::Watch);
+    /// instance that neither asks nor is subscribed counts as told after `ask_within`. One call is due at a
+    /// time: each failure once left two timers behind, and calls doubled until they flooded the host.
+    fn call_list(&mut self, now: Time, todo: &mut Vec<Action>) {
+        if self.set.discovery == Discovery::OnRequest && !self.subscribed && now >= self.call_due {
             let again = Span(self.set.safety.ask_within.0 / 4).max(CALL_AGAIN.0);
+            self.call_due = now + again;
+            todo.push(Action::Watch);
             todo.push(Action::Timer { token: CALL, delay: again });
         }
     }
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -136,3 +136,20 @@
     world.pass(Span(5_000 * MS));
     assert_eq!(watches(&world), 0);
 }
+
+/// Each failed call left two timers behind; calls doubled until they flooded the host (incident ib1ff4a).
+#[test]
+fn calls_that_keep_failing_stay_rare() {
+    let mut set = settings();
+    set.discovery = Discovery::OnRequest;
+    let mut world = World::new(set, &members(3));
+    let mut answered = 0;
+    for _ in 0..60_000 / 5 {
+        world.pass(Span(5 * MS));
+        if watches(&world) > answered {
+            answered = watches(&world);
+            world.list(ListKind::Failed, &[]);
+        }
+    }
+    assert!((20..80).contains(&answered), "{answered} calls in a minute");
+}
