--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -86,6 +86,8 @@
     cross_zone: f64,
     probe: f64,
     waste: f64,
+    peer: f64,
+    connection: f64,
 }
 
 #[derive(Deserialize)]
@@ -137,6 +139,8 @@
             cross_zone: env.deductions.cross_zone,
             probe: env.deductions.probe,
             waste: env.deductions.waste,
+            peer: env.deductions.peer,
+            connection: env.deductions.connection,
         },
         safety: Safety {
             ask_within: Span(env.safety.ask_within.unwrap_or(10_000_000)),
--- a/src/api.rs
+++ b/src/api.rs
@@ -167,6 +167,10 @@
     pub probe: f64,
     /// Work that served no answer, as a part of the work offered.
     pub waste: f64,
+    /// Bytes to other instances, for 256 a first try.
+    pub peer: f64,
+    /// Open connections, for a hundred at each server.
+    pub connection: f64,
 }
 
 /// The figures of the rules that no run may break.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,8 +36,11 @@
 const BEND: f64 = 4.0;
 /// Reports are not believed when more than this part of them misses attempts that were out before.
 const DOUBT: f64 = 0.2;
-/// The most bytes in a message to other instances.
-const PEER_BYTES: usize = 256;
+/// The most bytes in a message to other instances, and those that its handling weighs as at the least.
+const PEER_BYTES: (usize, usize) = (256, 12);
+/// Part of the result that messages may cost: hundreds of balancers that each told all others every window
+/// flooded the host, so that each pays from its own traffic for telling all.
+const PEER_SPEND: f64 = 0.004;
 /// The chance that none of the servers probed by a look is idle.
 const FOUND: f64 = 0.1;
 /// The least factor that a lack of room puts on a share.
@@ -125,6 +128,11 @@
 }
 
 impl Server {
+    /// What stands for it in messages: hundreds of servers hardly ever share 24 bits.
+    fn name(&self) -> u32 {
+        self.common as u32 & 0xff_ffff
+    }
+
     /// Keeps away for a while that doubles with each strike, up to 32 aims: a hang outlasts many aims, and
     /// each trial of it costs a request.
     fn strike(&mut self, now: Time, aim: Span, unreachable: bool) {
@@ -145,7 +153,7 @@
 }
 
 /// A request that is owed an answer.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Open {
     class: u32,
     hint: Option<Span>,
@@ -199,10 +207,7 @@
     set: Settings,
     rng: SmallRng,
     window: Span,
-    settle: f64,
     counts_requests: bool,
-    /// Loads are known afresh: reports count requests, or other instances tell theirs.
-    sees_load: bool,
     servers: Vec<Option<Server>>,
     /// Listed servers that take new work, by number.
     ready: Vec<ServerId>,
@@ -232,8 +237,13 @@
     load_limit: f64,
     /// What other instances told of their attempts out.
     peers: Vec<PeerView>,
+    /// Bytes that own traffic has paid for, and the servers by the names that all instances share.
+    peer_credit: f64,
+    names: FxHashMap<u32, ServerId>,
     /// Factor on the shares of servers in other zones.
     far: f64,
+    /// The sum of what the servers have of their capacity and whether any has all of it, as of the last window.
+    warm: (f64, bool),
     /// Weights are set against this one.
     mean_weight: f64,
     subscribed: bool,
@@ -251,8 +261,6 @@
         let counts_requests = set.reports != Reports::Off && set.fields.iter().any(counts);
         Balancer {
             window: aim.times(1.0 / WINDOWS_IN_AIM).max(set.tick).min(WINDOW_MOST).max(Span(1)),
-            sees_load: counts_requests || set.limits.peers,
-            settle: if counts_requests || set.limits.peers { SETTLE_FRESH } else { SETTLE_SLOW },
             counts_requests,
             rng: SmallRng::seed_from_u64(seed),
             servers: Vec::new(),
@@ -277,7 +285,10 @@
             doubt: 0.0,
             load_limit: f64::MAX,
             peers: Vec::new(),
+            peer_credit: 0.0,
+            names: FxHashMap::default(),
             far: 1.0 / (1.0 + set.prices.cross_zone / FAR),
+            warm: (1.0, false),
             mean_weight: 1.0,
             subscribed: false,
             failures: 0,
@@ -301,20 +312,10 @@
             Event::Request { id, left, class, hint, tenant, .. } => {
                 let over = self.over_share(tenant);
                 let deadline = now + left;
-                self.open.insert(
-                    id,
-                    Open {
-                        class,
-                        hint,
-                        over,
-                        arrived: now,
-                        deadline,
-                        attempts: Vec::new(),
-                        streaming: false,
-                        timed: false,
-                    },
-                );
+                self.open.insert(id, Open { class, hint, over, arrived: now, deadline, ..Open::default() });
                 self.probe_credit += self.probes_a_request();
+                self.peer_credit +=
+                    PEER_BYTES.0 as f64 * PEER_SPEND / self.set.prices.peer.max(PEER_SPEND / 4.0);
                 if now - self.stepped > self.patience(class) && !(self.counts_requests && self.doubt < DOUBT)
                 {
                     self.step(now, todo);
@@ -337,7 +338,7 @@
             Event::Outcome { id, attempt, status, closed, latency, server, load } => {
                 self.note(now, server, status, Some(latency), load);
                 self.learn_turn(now, id, attempt, status, latency);
-                self.on_outcome(now, id, attempt, status, closed, todo);
+                self.on_outcome(now, id, closed, todo);
                 self.serve_held(now, false, todo);
             }
             Event::Probed { server, status, load, .. } => {
@@ -452,7 +453,7 @@
     fn load_of(&self, s: &Server) -> f64 {
         match (self.counts_requests, s.reported) {
             (true, Some(reported)) if self.doubt < DOUBT => (reported + s.sent_since).max(f64::from(s.out)),
-            _ if self.sees_load => f64::from(s.out + s.peers_out) * self.mean_weight / s.weight.max(0.01),
+            _ if self.sees_load() => f64::from(s.out + s.peers_out) * self.mean_weight / s.weight.max(0.01),
             _ => s.util.unwrap_or(0.0) + f64::from(s.out) * self.mean_weight / s.weight.max(0.01),
         }
     }
@@ -468,7 +469,8 @@
                 self.load_limit = self.load_limit.min(ROOM * c.aim.f() / turn - 1.0);
             }
         }
-        let part = 1.0 - (-gap.f() / (self.window.f() * self.settle)).exp();
+        let settle = if self.sees_load() { SETTLE_FRESH } else { SETTLE_SLOW };
+        let part = 1.0 - (-gap.f() / (self.window.f() * settle)).exp();
         let silent_part = part.min(gap.f() / self.heard_for().f());
         for table in 0..2 {
             let figure: Vec<Option<f64>> = self.ready.iter().map(|id| self.figure(now, *id, table)).collect();
@@ -476,7 +478,7 @@
                 self.ready.iter().filter_map(|id| Some(self.server(*id)?.tau[table])).collect();
             let old = tau.clone();
             let x = bent(&figure);
-            if table == 0 && self.sees_load {
+            if table == 0 && self.sees_load() {
                 self.keep_room(now, &x);
             }
             window_step(&mut tau, &x, part, silent_part);
@@ -488,7 +490,7 @@
                 }
             }
         }
-        self.refresh_shares();
+        self.refresh_shares(now);
     }
 
     /// Departure for quiet balancers: a server is silent only after it could have been asked a few times.
@@ -505,7 +507,7 @@
         let heard = s.heard.is_some_and(|t| now - t <= self.heard_for()) && s.strikes == 0;
         // Departure where loads count requests: a slow server's requests in hand weigh more, and so does
         // the next.
-        let slow = if self.sees_load { s.slow.exp() } else { 1.0 };
+        let slow = if self.sees_load() { s.slow.exp() } else { 1.0 };
         let loaded = || ((1.0 + self.load_of(s)) * slow - 1.0).max(0.0);
         heard.then(|| if table == 0 { loaded() } else { s.delay.or(self.delay).unwrap_or(0.0) })
     }
@@ -524,7 +526,9 @@
         }
     }
 
-    fn refresh_shares(&mut self) {
+    fn refresh_shares(&mut self, now: Time) {
+        let warmth = |id: &ServerId| self.warmth(now, *id);
+        self.warm = (self.ready.iter().map(warmth).sum(), self.ready.iter().any(|id| warmth(id) >= 1.0));
         let mut sum = 0.0;
         self.shares.clear();
         for id in &self.ready {
@@ -536,19 +540,31 @@
     }
 
     /// Departure where messages are allowed: the load figure counts the attempts of all instances. Each tells
-    /// its own once a window, three bytes a server; what is older than the silence of a window is void.
-    fn tell_peers(&self, todo: &mut Vec<Action>) {
+    /// its own once a window, four bytes a server, as long as own traffic pays for telling all the others;
+    /// what is older than the silence of a window is void.
+    fn tell_peers(&mut self, todo: &mut Vec<Action>) {
         if !self.set.limits.peers || self.set.balancers < 2 || self.counts_requests {
             return;
         }
-        let mut data = Vec::with_capacity(PEER_BYTES);
+        let mut data = Vec::with_capacity(PEER_BYTES.0);
         for s in self.ready.iter().filter_map(|id| self.server(*id)).filter(|s| s.out > 0) {
-            if data.len() + 3 <= PEER_BYTES {
-                data.extend_from_slice(&(s.common as u16).to_le_bytes());
+            if data.len() + 4 <= PEER_BYTES.0 {
+                data.extend_from_slice(&s.name().to_le_bytes()[..3]);
                 data.push(s.out.min(255) as u8);
             }
         }
-        todo.push(Action::Tell { peer: None, data });
+        let cost = data.len().max(PEER_BYTES.1) as f64 * f64::from(self.set.balancers - 1);
+        self.peer_credit = self.peer_credit.min(4.0 * cost);
+        if self.peer_credit >= cost {
+            self.peer_credit -= cost;
+            todo.push(Action::Tell { peer: None, data });
+        }
+    }
+
+    /// Loads are known afresh: reports count requests, or most other instances tell theirs.
+    fn sees_load(&self) -> bool {
+        let told = || self.peers.iter().filter(|p| self.stepped - p.at <= HEARD_FOR).count();
+        self.counts_requests || (self.set.limits.peers && 2 * told() + 1 >= self.set.balancers as usize)
     }
 
     fn on_peer(&mut self, now: Time, from: u32, data: &[u8]) {
@@ -561,11 +577,10 @@
         self.forget_peer(from as usize);
         let mut out = std::mem::take(&mut self.peers[from as usize].out);
         out.clear();
-        for told in data.chunks_exact(3) {
-            let name = u16::from_le_bytes([told[0], told[1]]);
-            let same = |id: &&ServerId| self.server(**id).is_some_and(|s| s.common as u16 == name);
-            if let Some(id) = self.ready.iter().find(same).copied() {
-                out.push((id, told[2]));
+        for told in data.chunks_exact(4) {
+            let name = u32::from_le_bytes([told[0], told[1], told[2], 0]);
+            if let Some(id) = self.names.get(&name).copied() {
+                out.push((id, told[3]));
             }
         }
         for (id, n) in &out {
@@ -706,15 +721,16 @@
         load * own + work > wanted.within.f() * ROOM * part || load > self.load_limit * part
     }
 
-    /// Learns the turn of a class from an answer, or from a time-out: that took longer than it shows, and the
-    /// served alone would tell of short turns.
+    /// Enters how an attempt ended. Learns the turn of a class from an answer, or from a time-out: that took
+    /// longer than it shows, and the served alone would tell of short turns.
     fn learn_turn(&mut self, now: Time, id: RequestId, attempt: Attempt, status: Status, latency: Span) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(sent) = open.attempts.get_mut(attempt.0 as usize) else { return };
+        sent.ended = Some(status);
+        let Some(turn) = self.turns.get_mut(open.class as usize) else { return };
         if !matches!(status, Status::Ok | Status::Timeout) {
             return;
         }
-        let Some(open) = self.open.get(&id) else { return };
-        let Some(sent) = open.attempts.get(attempt.0 as usize) else { return };
-        let Some(turn) = self.turns.get_mut(open.class as usize) else { return };
         turn.seen = turn.seen.saturating_add(1);
         let weight = SMOOTH_TURN.max(1.0 / f64::from(turn.seen));
         let off = (latency.f().max(1.0) / (1.0 + sent.ahead)).ln() - turn.log;
@@ -753,9 +769,7 @@
         if warmth >= 1.0 {
             return true;
         }
-        let sum: f64 = self.ready.iter().map(|id| self.warmth(now, *id)).sum();
-        let any_warm = self.ready.iter().any(|id| self.warmth(now, *id) >= 1.0);
-        let sends = self.sends;
+        let (sends, (sum, any_warm)) = (self.sends, self.warm);
         let Some(s) = self.server_mut(id) else { return false };
         s.credit += (sends - s.credit_mark) as f64 * COLD_EXTRA * warmth / sum.max(warmth);
         s.credit = s.credit.min(COLD_BURST);
@@ -789,27 +803,12 @@
 
     // ------------------------------------------------------------ request life
 
-    fn on_outcome(
-        &mut self,
-        now: Time,
-        id: RequestId,
-        attempt: Attempt,
-        status: Status,
-        closed: bool,
-        todo: &mut Vec<Action>,
-    ) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        if let Some(sent) = open.attempts.get_mut(attempt.0 as usize) {
-            sent.ended = Some(status);
-        }
+    fn on_outcome(&mut self, now: Time, id: RequestId, closed: bool, todo: &mut Vec<Action>) {
         if closed {
             self.open.remove(&id);
-            return;
-        }
-        if open.attempts.iter().any(|a| a.ended.is_none()) {
-            return;
+        } else if self.open.get(&id).is_some_and(|o| o.attempts.iter().all(|a| a.ended.is_some())) {
+            self.advance(now, id, todo);
         }
-        self.advance(now, id, todo);
     }
 
     /// Sends a request that has no attempt out, holds it for a moment, or gives it its final answer.
@@ -961,9 +960,11 @@
                 self.ready.push(ServerId(i as u32));
             }
         }
+        let named = |id: &ServerId| Some((self.server(*id)?.name(), *id));
+        self.names = self.ready.iter().filter_map(named).collect();
         let weights = self.ready.iter().filter_map(|id| self.server(*id)).map(|s| s.weight);
         self.mean_weight = weights.sum::<f64>() / self.ready.len().max(1) as f64;
-        self.refresh_shares();
+        self.refresh_shares(now);
         self.serve_held(now, true, todo);
     }
 
