--- a/src/rules.rs
+++ b/src/rules.rs
@@ -66,6 +66,12 @@
 const TENANT_SMOOTH: f64 = 0.01;
 /// Part of the probed servers that must be busy before tenants' shares count.
 const CROWDED: f64 = 0.8;
+/// Part of the result that open connections may cost, and the least servers a balancer uses then.
+const CONNECTION_SPEND: f64 = 0.01;
+const USED_LEAST: f64 = 3.0;
+/// Servers used for each own attempt out, and the time in which the count of those out fades.
+const USED_EACH: f64 = 2.0;
+const USED_FADE: Span = Span(20_000_000);
 /// The price of crossing zones at which servers of other zones draw half as much.
 const FAR: f64 = 0.01;
 /// Answers that tell the turn of a class, and the aims after the last of them for which it is believed.
@@ -209,8 +215,14 @@
     window: Span,
     counts_requests: bool,
     servers: Vec<Option<Server>>,
-    /// Listed servers that take new work, by number.
+    /// Listed servers that take new work, in the order in which this balancer uses them.
+    listed: Vec<ServerId>,
+    /// Those it uses: the first of `listed`.
     ready: Vec<ServerId>,
+    /// Attempts out, their fading peak, and the servers wanted for them.
+    out: u32,
+    out_peak: f64,
+    width: f64,
     /// Cumulative shares over `ready`.
     shares: Vec<f64>,
     open: FxHashMap<RequestId, Open>,
@@ -242,7 +254,7 @@
     names: FxHashMap<u32, ServerId>,
     /// Factor on the shares of servers in other zones.
     far: f64,
-    /// The sum of what the servers have of their capacity and whether any has all of it, as of the last window.
+    /// What the servers have of their capacity in all, and whether any has all of it, as of the last window.
     warm: (f64, bool),
     /// Weights are set against this one.
     mean_weight: f64,
@@ -264,7 +276,11 @@
             counts_requests,
             rng: SmallRng::seed_from_u64(seed),
             servers: Vec::new(),
+            listed: Vec::new(),
             ready: Vec::new(),
+            out: 0,
+            out_peak: 0.0,
+            width: 0.0,
             shares: Vec::new(),
             open: FxHashMap::default(),
             held: VecDeque::new(),
@@ -336,6 +352,7 @@
                 }
             }
             Event::Outcome { id, attempt, status, closed, latency, server, load } => {
+                self.out = self.out.saturating_sub(1);
                 self.note(now, server, status, Some(latency), load);
                 self.learn_turn(now, id, attempt, status, latency);
                 self.on_outcome(now, id, closed, todo);
@@ -463,6 +480,7 @@
         let gap = now - self.stepped;
         self.stepped = now;
         self.suspect(now, todo);
+        self.use_enough(gap);
         self.load_limit = f64::MAX;
         for (class, c) in self.set.classes.iter().enumerate() {
             if let Some(turn) = self.turn(now, class) {
@@ -540,8 +558,8 @@
     }
 
     /// Departure where messages are allowed: the load figure counts the attempts of all instances. Each tells
-    /// its own once a window, four bytes a server, as long as own traffic pays for telling all the others;
-    /// what is older than the silence of a window is void.
+    /// its own once a window, four bytes a server, as long as own traffic pays for telling all others; what is
+    /// older than the silence of a window is void.
     fn tell_peers(&mut self, todo: &mut Vec<Action>) {
         if !self.set.limits.peers || self.set.balancers < 2 || self.counts_requests {
             return;
@@ -685,10 +703,55 @@
                 left.push((id, sum));
             }
         }
+        // A repeat that is bound to a group finds it among the servers not used otherwise.
+        for at in if wanted.group.is_some() { self.ready.len()..self.listed.len() } else { 0..0 } {
+            if self.eligible(now, self.listed[at], wanted) {
+                sum += total / self.ready.len() as f64;
+                left.push((self.listed[at], sum));
+            }
+        }
         let x = self.rng.random::<f64>() * sum;
         left.iter().find(|(_, c)| x < *c).or(left.last()).map(|(id, _)| *id)
     }
 
+    /// Departure where open connections have a price: a balancer uses as many servers as the price allows if all
+    /// do alike, more as it has more attempts out, and one more for each that is silent or out of reach. Hundreds
+    /// of balancers that each used every server filled the servers' connections.
+    fn use_enough(&mut self, gap: Span) {
+        self.out_peak = (self.out_peak * (-gap.f() / USED_FADE.f()).exp()).max(f64::from(self.out));
+        let balancers = f64::from(self.set.balancers.max(1));
+        let paid =
+            CONNECTION_SPEND * 100.0 * self.listed.len() as f64 / (self.set.prices.connection * balancers);
+        let wanted = paid.max(USED_LEAST).max(self.out_peak * USED_EACH).min(self.listed.len() as f64).ceil();
+        if wanted > self.width || wanted < self.width / 2.0 {
+            self.width = wanted;
+        }
+        let fine = |id: &ServerId| self.server(*id).is_some_and(|s| s.strikes == 0);
+        let mut left = self.width;
+        let enough = self.listed.iter().take_while(|id| {
+            let more = left > 0.0;
+            left -= f64::from(fine(id));
+            more
+        });
+        let enough = enough.count();
+        if enough != self.ready.len() {
+            self.ready.clear();
+            self.ready.extend_from_slice(&self.listed[..enough]);
+        }
+    }
+
+    /// The order in which this balancer uses the listed servers: from its own place in the order of their common
+    /// names in growing steps, so that all balancers together cover them evenly and hardly two use the same few.
+    fn own_order(&self, mut ring: Vec<ServerId>) -> Vec<ServerId> {
+        ring.sort_unstable_by_key(|id| self.server(*id).map(|s| s.common));
+        let n = ring.len();
+        let start = (u64::from(self.set.me) * n as u64 / u64::from(self.set.balancers.max(1))) as usize;
+        let mut taken = vec![false; n];
+        let steps = (0..n / 2).map(|k| k * k).chain(0..n);
+        let places = steps.map(|step| (start + step) % n.max(1));
+        places.filter(|at| !std::mem::replace(&mut taken[*at], true)).map(|at| ring[at]).collect()
+    }
+
     // ------------------------------------------------------------ eligibility
 
     /// Whether a server may get a request now. All filters on the shares stand here.
@@ -861,6 +924,7 @@
 
     fn send(&mut self, now: Time, id: RequestId, server: ServerId, until: Time, todo: &mut Vec<Action>) {
         self.sends += 1;
+        self.out += 1;
         let ahead = self.server(server).map_or(0.0, |s| self.load_of(s));
         if let Some(s) = self.server_mut(server) {
             s.out += 1;
@@ -953,17 +1017,15 @@
         for entry in entries {
             self.list(now, entry);
         }
-        let taking = |s: &Option<Server>| s.as_ref().is_some_and(|s| s.state == State::Ready);
-        self.ready.clear();
-        for (i, s) in self.servers.iter().enumerate() {
-            if taking(s) {
-                self.ready.push(ServerId(i as u32));
-            }
-        }
+        let ids = (0..self.servers.len() as u32).map(ServerId);
+        let taking = |id: &ServerId| self.server(*id).is_some_and(|s| s.state == State::Ready);
+        self.listed = self.own_order(ids.filter(taking).collect());
         let named = |id: &ServerId| Some((self.server(*id)?.name(), *id));
-        self.names = self.ready.iter().filter_map(named).collect();
-        let weights = self.ready.iter().filter_map(|id| self.server(*id)).map(|s| s.weight);
-        self.mean_weight = weights.sum::<f64>() / self.ready.len().max(1) as f64;
+        self.names = self.listed.iter().filter_map(named).collect();
+        let weights = self.listed.iter().filter_map(|id| self.server(*id)).map(|s| s.weight);
+        self.mean_weight = weights.sum::<f64>() / self.listed.len().max(1) as f64;
+        self.ready.clear();
+        self.use_enough(Span(0));
         self.refresh_shares(now);
         self.serve_held(now, true, todo);
     }
