--- a/src/rules.rs
+++ b/src/rules.rs
@@ -69,8 +69,9 @@
 /// Part of the result that open connections may cost, and the least servers a balancer uses then.
 const CONNECTION_SPEND: f64 = 0.01;
 const USED_LEAST: f64 = 3.0;
-/// Servers used for each own attempt out, and the time in which the count of those out fades.
+/// Servers used for each own attempt that is out in good times, by a rate taken over some windows that fades slowly.
 const USED_EACH: f64 = 2.0;
+const USED_OVER: Span = Span(2_000_000);
 const USED_FADE: Span = Span(20_000_000);
 /// The price of crossing zones at which servers of other zones draw half as much.
 const FAR: f64 = 0.01;
@@ -219,9 +220,8 @@
     listed: Vec<ServerId>,
     /// Those it uses: the first of `listed`.
     ready: Vec<ServerId>,
-    /// Attempts out, their fading peak, and the servers wanted for them.
-    out: u32,
-    out_peak: f64,
+    /// Smoothed own sends a microsecond, their fading peak, the sends counted in, and the servers wanted.
+    rate: (f64, f64, u64),
     width: f64,
     /// Cumulative shares over `ready`.
     shares: Vec<f64>,
@@ -238,6 +238,8 @@
     probe_next: usize,
     /// Smoothed part of the probed servers that were busy.
     busy: f64,
+    /// The least that the smoothed delay of all answers was: what an answer takes in good times.
+    least_delay: f64,
     /// Smoothed delay of all answers, and by class of one request's turn at a server.
     delay: Option<f64>,
     turns: Vec<Turn>,
@@ -278,9 +280,9 @@
             servers: Vec::new(),
             listed: Vec::new(),
             ready: Vec::new(),
-            out: 0,
-            out_peak: 0.0,
+            rate: (0.0, 0.0, 0),
             width: 0.0,
+            least_delay: f64::MAX,
             shares: Vec::new(),
             open: FxHashMap::default(),
             held: VecDeque::new(),
@@ -352,7 +354,6 @@
                 }
             }
             Event::Outcome { id, attempt, status, closed, latency, server, load } => {
-                self.out = self.out.saturating_sub(1);
                 self.note(now, server, status, Some(latency), load);
                 self.learn_turn(now, id, attempt, status, latency);
                 self.on_outcome(now, id, closed, todo);
@@ -514,9 +515,12 @@
     /// Departure for quiet balancers: a server is silent only after it could have been asked a few times.
     /// Otherwise the few heard from rise, are drawn again, and the rest starve unheard.
     fn heard_for(&self) -> Span {
-        let gap = (self.stepped - self.born).f() / self.sends.max(1) as f64;
-        let turns = gap * self.ready.len() as f64 * ASKED;
-        HEARD_FOR.max(Span(turns as u64))
+        HEARD_FOR.max(self.own_gap().times(self.ready.len() as f64 * ASKED))
+    }
+
+    /// The mean time between own sends.
+    fn own_gap(&self) -> Span {
+        Span((self.stepped - self.born).0 / self.sends.max(1))
     }
 
     /// The figure of one server for the load (0) or delay (1) table, if it was heard from lately.
@@ -718,11 +722,17 @@
     /// do alike, more as it has more attempts out, and one more for each that is silent or out of reach. Hundreds
     /// of balancers that each used every server filled the servers' connections.
     fn use_enough(&mut self, gap: Span) {
-        self.out_peak = (self.out_peak * (-gap.f() / USED_FADE.f()).exp()).max(f64::from(self.out));
+        let (rate, peak, counted) = self.rate;
+        let part = 1.0 - (-gap.f() / USED_OVER.f()).exp();
+        let rate = rate + part * ((self.sends - counted) as f64 / gap.f().max(1.0) - rate);
+        let peak = (peak * (-gap.f() / USED_FADE.f()).exp()).max(rate);
+        self.rate = (rate, peak, self.sends);
+        self.least_delay = self.least_delay.min(self.delay.unwrap_or(f64::MAX));
+        let own = if self.least_delay < f64::MAX { peak * self.least_delay * USED_EACH } else { 0.0 };
         let balancers = f64::from(self.set.balancers.max(1));
         let paid =
             CONNECTION_SPEND * 100.0 * self.listed.len() as f64 / (self.set.prices.connection * balancers);
-        let wanted = paid.max(USED_LEAST).max(self.out_peak * USED_EACH).min(self.listed.len() as f64).ceil();
+        let wanted = paid.max(USED_LEAST).max(own).min(self.listed.len() as f64).ceil();
         if wanted > self.width || wanted < self.width / 2.0 {
             self.width = wanted;
         }
@@ -764,7 +774,8 @@
         };
         // An idle server always has room: a turn mistaken for too long once had everything refused for good.
         let load = self.load_of(s);
-        let crowded = load >= 1.0 && self.crowded(now, load, wanted);
+        let idle = if self.sees_load() { 1.0 } else { 0.5 };
+        let crowded = load >= idle && self.crowded(now, load, wanted);
         s.state == State::Ready
             && in_group
             && wanted.not != Some(id)
@@ -813,7 +824,8 @@
     /// figure.
     fn turn(&self, now: Time, class: usize) -> Option<f64> {
         let (turn, class) = (self.turns.get(class)?, self.set.classes.get(class)?);
-        let told = turn.seen >= TOLD && now - turn.at < class.aim.times(RECENT);
+        let recent = class.aim.times(RECENT).max(self.own_gap().times(f64::from(TOLD)));
+        let told = turn.seen >= TOLD && now - turn.at < recent;
         told.then(|| turn.log.exp().max(1.0))
     }
 
@@ -924,7 +936,6 @@
 
     fn send(&mut self, now: Time, id: RequestId, server: ServerId, until: Time, todo: &mut Vec<Action>) {
         self.sends += 1;
-        self.out += 1;
         let ahead = self.server(server).map_or(0.0, |s| self.load_of(s));
         if let Some(s) = self.server_mut(server) {
             s.out += 1;
