--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,8 +43,8 @@
 const PEER_SPEND: f64 = 0.004;
 /// The chance that none of the servers probed by a look is idle.
 const FOUND: f64 = 0.1;
-/// The least factor that a lack of room puts on a share.
-const ROOM_LEAST: f64 = 0.01;
+/// What all servers without known room draw together, against one with room.
+const ROOM_LEAST: f64 = 0.1;
 /// Part of the result that probes may cost.
 const PROBE_SPEND: f64 = 0.03;
 /// A request that finds the last window this part of its aim old closes it: servers are probed, and it waits
@@ -206,7 +206,7 @@
 #[derive(Clone, Debug, Default)]
 struct PeerView {
     at: Time,
-    out: Vec<(ServerId, u8)>,
+    out: Vec<(ServerId, u32)>,
 }
 
 /// One balancer: its tables, its open requests, its view of the servers.
@@ -375,7 +375,6 @@
                 }
             }
             Event::Timer { token: STEP } => {
-                self.forget_peers(now);
                 self.step(now, todo);
                 self.tell_peers(todo);
                 todo.push(Action::Timer { token: STEP, delay: self.window });
@@ -480,6 +479,9 @@
     fn step(&mut self, now: Time, todo: &mut Vec<Action>) {
         let gap = now - self.stepped;
         self.stepped = now;
+        if !self.peers.is_empty() {
+            self.count_told(now);
+        }
         self.suspect(now, todo);
         self.use_enough(gap);
         self.load_limit = f64::MAX;
@@ -498,7 +500,7 @@
             let old = tau.clone();
             let x = bent(&figure);
             if table == 0 && self.sees_load() {
-                self.keep_room(now, &x);
+                self.keep_room(now);
             }
             window_step(&mut tau, &x, part, silent_part);
             for ((id, tau), old) in self.ready.clone().iter().zip(tau).zip(old) {
@@ -527,24 +529,36 @@
     fn figure(&self, now: Time, id: ServerId, table: usize) -> Option<f64> {
         let s = self.server(id)?;
         let heard = s.heard.is_some_and(|t| now - t <= self.heard_for()) && s.strikes == 0;
-        // Departure where loads count requests: a slow server's requests in hand weigh more, and so does
-        // the next.
+        heard.then(|| if table == 0 { self.loaded(s) } else { s.delay.or(self.delay).unwrap_or(0.0) })
+    }
+
+    /// Departure where loads are known afresh: a slow server's requests in hand weigh more, and so does the next.
+    fn loaded(&self, s: &Server) -> f64 {
         let slow = if self.sees_load() { s.slow.exp() } else { 1.0 };
-        let loaded = || ((1.0 + self.load_of(s)) * slow - 1.0).max(0.0);
-        heard.then(|| if table == 0 { loaded() } else { s.delay.or(self.delay).unwrap_or(0.0) })
+        ((1.0 + self.load_of(s)) * slow - 1.0).max(0.0)
     }
 
-    /// Departure: where reports count requests, a share is also multiplied by the room left, 1 - x. A raised
-    /// entry falls only by the others' rise, so a server just filled would keep its share for another window.
-    /// A report older than a mean delay counts less, as the server has had time to fill.
-    fn keep_room(&mut self, now: Time, x: &[Option<f64>]) {
-        let turn = self.delay.unwrap_or(f64::MAX);
+    /// Departure: where loads are known afresh, a share is also multiplied by the room left. A raised entry falls
+    /// only by the others' rise, so a server just filled would keep its share for another window. Loads count
+    /// against the usual one, and a report older than a mean delay counts less, as the server has had time to
+    /// fill: in a large fleet old reports of many servers outweighed the fresh ones of a look.
+    fn keep_room(&mut self, now: Time) {
+        let turn = self.delay.unwrap_or(tightest_aim(&self.set).f());
+        let counts = self.counts_requests;
+        let fresh = |s: &Server| if counts { (-(now - s.seen).f() / turn).exp() } else { 1.0 };
+        let (mut sum, mut weight) = (0.0, 0.0);
+        for s in self.ready.iter().filter_map(|id| self.server(*id)) {
+            sum += fresh(s) * self.loaded(s);
+            weight += fresh(s);
+        }
+        let (usual, least) = (sum / weight.max(1e-9), ROOM_LEAST / self.ready.len() as f64);
         for at in 0..self.ready.len() {
-            let counts = self.counts_requests;
-            let Some(s) = self.server_mut(self.ready[at]) else { continue };
-            let age = if counts { (now - s.seen).f() } else { 0.0 };
-            let fresh = (-age / turn).exp();
-            s.room = x[at].map_or(1.0, |x| ((1.0 - x) * fresh).max(ROOM_LEAST));
+            let Some(s) = self.server(self.ready[at]) else { continue };
+            let bend = if usual > 0.0 { (-BEND * self.loaded(s) / usual).exp() } else { 1.0 };
+            let room = (bend * fresh(s)).max(least);
+            if let Some(s) = self.server_mut(self.ready[at]) {
+                s.room = room;
+            }
         }
     }
 
@@ -596,36 +610,22 @@
         if self.peers.len() <= from as usize {
             self.peers.resize(from as usize + 1, PeerView::default());
         }
-        self.forget_peer(from as usize);
-        let mut out = std::mem::take(&mut self.peers[from as usize].out);
-        out.clear();
-        for told in data.chunks_exact(4) {
+        let entry = |told: &[u8]| {
             let name = u32::from_le_bytes([told[0], told[1], told[2], 0]);
-            if let Some(id) = self.names.get(&name).copied() {
-                out.push((id, told[3]));
-            }
-        }
-        for (id, n) in &out {
-            if let Some(s) = self.server_mut(*id) {
-                s.peers_out += u32::from(*n);
-            }
-        }
+            Some((*self.names.get(&name)?, u32::from(told[3])))
+        };
+        let out = data.chunks_exact(4).filter_map(entry).collect();
         self.peers[from as usize] = PeerView { at: now, out };
     }
 
-    fn forget_peer(&mut self, peer: usize) {
-        let out = std::mem::take(&mut self.peers[peer].out);
-        for (id, n) in &out {
-            if let Some(s) = self.server_mut(*id) {
-                s.peers_out = s.peers_out.saturating_sub(u32::from(*n));
-            }
-        }
-    }
-
-    fn forget_peers(&mut self, now: Time) {
-        for peer in 0..self.peers.len() {
-            if now - self.peers[peer].at > HEARD_FOR {
-                self.forget_peer(peer);
+    /// Sums up what other instances told within the silence of a window.
+    fn count_told(&mut self, now: Time) {
+        self.servers.iter_mut().flatten().for_each(|s| s.peers_out = 0);
+        for view in self.peers.iter().filter(|view| now - view.at <= HEARD_FOR) {
+            for (id, n) in &view.out {
+                if let Some(s) = self.servers[id.0 as usize].as_mut() {
+                    s.peers_out += n;
+                }
             }
         }
     }
