--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,13 +43,14 @@
 const PEER_SPEND: f64 = 0.004;
 /// The chance that none of the servers probed by a look is idle.
 const FOUND: f64 = 0.1;
-/// What all servers without known room draw together, against one with room.
+/// What all servers without known room draw together, against the one with the most.
 const ROOM_LEAST: f64 = 0.1;
 /// Part of the result that probes may cost.
 const PROBE_SPEND: f64 = 0.03;
 /// A request that finds the last window this part of its aim old closes it: servers are probed, and it waits
-/// for their answers, at most as long again.
+/// for their answers, at most as long again; a larger part where probes take long.
 const LOOK: f64 = 0.02;
+const LOOK_MOST: f64 = 0.1;
 /// Weight of a new figure in smoothed delays and service times.
 const SMOOTH: f64 = 0.1;
 /// The same for turns, whose spread is wide: a few heavy ones must not have a class refused.
@@ -236,6 +237,8 @@
     born: Time,
     probe_credit: f64,
     probe_next: usize,
+    /// Smoothed time that probes take.
+    probe_delay: f64,
     /// Smoothed part of the probed servers that were busy.
     busy: f64,
     /// The least that the smoothed delay of all answers was: what an answer takes in good times.
@@ -293,6 +296,7 @@
             born: Time(0),
             probe_credit: 0.0,
             probe_next: 0,
+            probe_delay: 0.0,
             busy: 0.5,
             delay: None,
             tenants: {
@@ -359,7 +363,10 @@
                 self.on_outcome(now, id, closed, todo);
                 self.serve_held(now, false, todo);
             }
-            Event::Probed { server, status, load, .. } => {
+            Event::Probed { server, status, latency, load } => {
+                if status == Status::Ok {
+                    self.probe_delay = smooth(Some(self.probe_delay), latency.f(), SMOOTH);
+                }
                 if let Some(s) = self.server_mut(server).filter(|s| s.probing.is_some()) {
                     s.probing = None;
                     self.probes_out -= 1;
@@ -551,13 +558,14 @@
             sum += fresh(s) * self.loaded(s);
             weight += fresh(s);
         }
-        let (usual, least) = (sum / weight.max(1e-9), ROOM_LEAST / self.ready.len() as f64);
-        for at in 0..self.ready.len() {
-            let Some(s) = self.server(self.ready[at]) else { continue };
-            let bend = if usual > 0.0 { (-BEND * self.loaded(s) / usual).exp() } else { 1.0 };
-            let room = (bend * fresh(s)).max(least);
+        let usual = sum / weight.max(1e-9);
+        let bend = |s: &Server| if usual > 0.0 { (-BEND * self.loaded(s) / usual).exp() } else { 1.0 };
+        let room = |id: &ServerId| self.server(*id).map_or(0.0, |s| bend(s) * fresh(s));
+        let rooms: Vec<f64> = self.ready.iter().map(room).collect();
+        let least = ROOM_LEAST * rooms.iter().copied().fold(0.0, f64::max) / rooms.len() as f64;
+        for (at, room) in rooms.into_iter().enumerate() {
             if let Some(s) = self.server_mut(self.ready[at]) {
-                s.room = room;
+                s.room = room.max(least).max(f64::MIN_POSITIVE);
             }
         }
     }
@@ -653,8 +661,11 @@
         self.looking
     }
 
+    /// How old the last window may be for a request, and how long it waits for the answers of a look: a small part
+    /// of its aim, or a few times what probes take. A server that lets it pass stands still, hangs or is gone.
     fn patience(&self, class: u32) -> Span {
-        self.class(class).map_or(self.window, |c| c.aim.times(LOOK))
+        let aim = self.class(class).map_or(self.window, |c| c.aim);
+        aim.times(LOOK).max(Span((3.0 * self.probe_delay) as u64)).min(aim.times(LOOK_MOST))
     }
 
     fn looked(&mut self, now: Time, todo: &mut Vec<Action>) {
@@ -781,7 +792,7 @@
             && wanted.not != Some(id)
             && s.shunned <= now
             && (s.strikes == 0 || s.out == 0)
-            && s.probing.is_none_or(|t| now - t <= self.window)
+            && s.probing.is_none_or(|t| now - t < self.patience(wanted.class))
             && !crowded
             && self.cold_allows(now, id)
     }
