--- a/src/rules.rs
+++ b/src/rules.rs
@@ -684,11 +684,16 @@
             return;
         }
         self.probe_credit = (self.probe_credit - each).min(2.0 * each);
-        for _ in 0..each as usize {
+        let mut left = each as u32;
+        for _ in 0..self.ready.len() {
+            if left == 0 {
+                break;
+            }
             self.probe_next = (self.probe_next + 1) % self.ready.len();
             let id = self.ready[self.probe_next];
-            if let Some(s) = self.server_mut(id).filter(|s| s.probing.is_none()) {
+            if let Some(s) = self.server_mut(id).filter(|s| s.probing.is_none() && s.shunned <= now) {
                 s.probing = Some(now);
+                left -= 1;
                 self.probes_out += 1;
                 todo.push(Action::Probe { server: id });
             }
@@ -792,6 +797,7 @@
             && wanted.not != Some(id)
             && s.shunned <= now
             && (s.strikes == 0 || s.out == 0)
+            && !(s.unreachable && self.probes_a_request() >= 1.0 && self.doubt < DOUBT)
             && s.probing.is_none_or(|t| now - t < self.patience(wanted.class))
             && !crowded
             && self.cold_allows(now, id)
