--- a/src/rules.rs
+++ b/src/rules.rs
@@ -117,8 +117,6 @@
     common: u64,
     /// Smoothed delay of answers.
     delay: Option<f64>,
-    /// Smoothed logarithm of its turns against the turns of their classes: how slow it is of late.
-    slow: f64,
     heard: Option<Time>,
     /// Since when something is out here without any sign of life.
     waiting: Option<Time>,
@@ -536,13 +534,7 @@
     fn figure(&self, now: Time, id: ServerId, table: usize) -> Option<f64> {
         let s = self.server(id)?;
         let heard = s.heard.is_some_and(|t| now - t <= self.heard_for()) && s.strikes == 0;
-        heard.then(|| if table == 0 { self.loaded(s) } else { s.delay.or(self.delay).unwrap_or(0.0) })
-    }
-
-    /// Departure where loads are known afresh: a slow server's requests in hand weigh more, and so does the next.
-    fn loaded(&self, s: &Server) -> f64 {
-        let slow = if self.sees_load() { s.slow.exp() } else { 1.0 };
-        ((1.0 + self.load_of(s)) * slow - 1.0).max(0.0)
+        heard.then(|| if table == 0 { self.load_of(s) } else { s.delay.or(self.delay).unwrap_or(0.0) })
     }
 
     /// Departure: where loads are known afresh, a share is also multiplied by the room left. A raised entry falls
@@ -555,11 +547,11 @@
         let fresh = |s: &Server| if counts { (-(now - s.seen).f() / turn).exp() } else { 1.0 };
         let (mut sum, mut weight) = (0.0, 0.0);
         for s in self.ready.iter().filter_map(|id| self.server(*id)) {
-            sum += fresh(s) * self.loaded(s);
+            sum += fresh(s) * self.load_of(s);
             weight += fresh(s);
         }
         let usual = sum / weight.max(1e-9);
-        let bend = |s: &Server| if usual > 0.0 { (-BEND * self.loaded(s) / usual).exp() } else { 1.0 };
+        let bend = |s: &Server| if usual > 0.0 { (-BEND * self.load_of(s) / usual).exp() } else { 1.0 };
         let room = |id: &ServerId| self.server(*id).map_or(0.0, |s| bend(s) * fresh(s));
         let rooms: Vec<f64> = self.ready.iter().map(room).collect();
         let least = ROOM_LEAST * rooms.iter().copied().fold(0.0, f64::max) / rooms.len() as f64;
@@ -824,16 +816,8 @@
         }
         turn.seen = turn.seen.saturating_add(1);
         let weight = SMOOTH_TURN.max(1.0 / f64::from(turn.seen));
-        let off = (latency.f().max(1.0) / (1.0 + sent.ahead)).ln() - turn.log;
-        turn.log += weight * off;
+        turn.log += weight * ((latency.f().max(1.0) / (1.0 + sent.ahead)).ln() - turn.log);
         turn.at = now;
-        if turn.seen < TOLD {
-            return;
-        }
-        let server = sent.server;
-        if let Some(s) = self.server_mut(server) {
-            s.slow += 2.0 * SMOOTH * (off - s.slow);
-        }
     }
 
     /// The turn of a class, if enough answers tell it and the last is recent. One heavy answer at the start
@@ -1077,8 +1061,7 @@
         if entry.born > known.born {
             // It restarted: what was known of the old process is void.
             (known.born, known.credit, known.credit_mark) = (entry.born, credit, sends);
-            (known.reported, known.sent_since, known.util, known.delay, known.slow) =
-                (None, 0.0, None, None, 0.0);
+            (known.reported, known.sent_since, known.util, known.delay) = (None, 0.0, None, None);
             (known.strikes, known.shunned, known.waiting) = (0, now, None);
             known.tau = [known.tau[0].min(tau[0]), known.tau[1].min(tau[1])];
         }
