--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,27 +30,24 @@
 const HEARD_FOR: Span = Span(1_000_000);
 /// How often a server could have been asked, in the mean, before its silence counts.
 const ASKED: f64 = 3.0;
-/// How sharply a load above the others' mean counts: the figure is bent by 1 - exp(-BEND * load / mean)
-/// before it is divided by the largest, so that idle, light and busy servers stay apart under one crowded
-/// one.
+/// How sharply a load above the mean counts: bent by 1 - exp(-BEND * load / mean) before it is divided by the
+/// largest, idle, light and busy servers stay apart under one crowded one.
 const BEND: f64 = 4.0;
 /// Reports are not believed when more than this part of them misses attempts that were out before.
 const DOUBT: f64 = 0.2;
 /// The most bytes in a message to other instances, and those that its handling weighs as at the least.
 const PEER_BYTES: (usize, usize) = (256, 12);
-/// Part of the result that messages may cost: hundreds of balancers that each told all others every window
-/// flooded the host, so that each pays from its own traffic for telling all.
+/// Parts of the result that messages, probes and open connections may cost.
 const PEER_SPEND: f64 = 0.004;
+const PROBE_SPEND: f64 = 0.03;
+const CONNECTION_SPEND: f64 = 0.01;
 /// The chance that none of the servers probed by a look is idle.
 const FOUND: f64 = 0.1;
 /// What all servers without known room draw together, against the one with the most.
 const ROOM_LEAST: f64 = 0.1;
-/// Part of the result that probes may cost.
-const PROBE_SPEND: f64 = 0.03;
 /// A request that finds the last window this part of its aim old closes it: servers are probed, and it waits
-/// for their answers, at most as long again; a larger part where probes take long.
+/// for their answers, at most as long again.
 const LOOK: f64 = 0.02;
-const LOOK_MOST: f64 = 0.1;
 /// Weight of a new figure in smoothed delays and service times.
 const SMOOTH: f64 = 0.1;
 /// The same for turns, whose spread is wide: a few heavy ones must not have a class refused.
@@ -67,10 +64,9 @@
 const TENANT_SMOOTH: f64 = 0.01;
 /// Part of the probed servers that must be busy before tenants' shares count.
 const CROWDED: f64 = 0.8;
-/// Part of the result that open connections may cost, and the least servers a balancer uses then.
-const CONNECTION_SPEND: f64 = 0.01;
+/// The least servers a balancer uses where connections have a price, and those for each attempt that it has out
+/// in good times, by a rate taken over some windows that fades slowly.
 const USED_LEAST: f64 = 3.0;
-/// Servers used for each own attempt that is out in good times, by a rate taken over some windows that fades slowly.
 const USED_EACH: f64 = 2.0;
 const USED_OVER: Span = Span(2_000_000);
 const USED_FADE: Span = Span(20_000_000);
@@ -214,7 +210,7 @@
     rng: SmallRng,
     window: Span,
     counts_requests: bool,
-    servers: Vec<Option<Server>>,
+    servers: Vec<Server>,
     /// Listed servers that take new work, in the order in which this balancer uses them.
     listed: Vec<ServerId>,
     /// Those it uses: the first of `listed`.
@@ -235,8 +231,6 @@
     born: Time,
     probe_credit: f64,
     probe_next: usize,
-    /// Smoothed time that probes take.
-    probe_delay: f64,
     /// Smoothed part of the probed servers that were busy.
     busy: f64,
     /// The least that the smoothed delay of all answers was: what an answer takes in good times.
@@ -294,7 +288,6 @@
             born: Time(0),
             probe_credit: 0.0,
             probe_next: 0,
-            probe_delay: 0.0,
             busy: 0.5,
             delay: None,
             tenants: {
@@ -334,10 +327,9 @@
                 let deadline = now + left;
                 self.open.insert(id, Open { class, hint, over, arrived: now, deadline, ..Open::default() });
                 self.probe_credit += self.probes_a_request();
-                self.peer_credit +=
-                    PEER_BYTES.0 as f64 * PEER_SPEND / self.set.prices.peer.max(PEER_SPEND / 4.0);
-                if now - self.stepped > self.patience(class) && !(self.counts_requests && self.doubt < DOUBT)
-                {
+                let price = self.set.prices.peer.max(PEER_SPEND / 4.0);
+                self.peer_credit += PEER_BYTES.0 as f64 * PEER_SPEND / price;
+                if now - self.stepped > self.patience(class) && !self.looks_pay() {
                     self.step(now, todo);
                 }
                 // A request whose client soon leaves is not made to wait for a look.
@@ -361,19 +353,15 @@
                 self.on_outcome(now, id, closed, todo);
                 self.serve_held(now, false, todo);
             }
-            Event::Probed { server, status, latency, load } => {
-                if status == Status::Ok {
-                    self.probe_delay = smooth(Some(self.probe_delay), latency.f(), SMOOTH);
-                }
+            Event::Probed { server, status, load, .. } => {
                 if let Some(s) = self.server_mut(server).filter(|s| s.probing.is_some()) {
                     s.probing = None;
                     self.probes_out -= 1;
                 }
                 self.note(now, server, status, None, load);
-                if let Some(load) =
-                    self.server(server).filter(|_| status == Status::Ok).map(|s| self.load_of(s))
-                {
-                    self.busy = smooth(Some(self.busy), f64::from(load >= 0.5), SMOOTH_TURN);
+                if let Some(s) = self.servers.get(server.0 as usize).filter(|_| status == Status::Ok) {
+                    let busy = f64::from(self.load_of(s) >= 0.5);
+                    self.busy = smooth(Some(self.busy), busy, SMOOTH_TURN);
                 }
                 if self.looking && self.probes_out == 0 {
                     self.looked(now, todo);
@@ -393,12 +381,13 @@
         }
     }
 
-    fn server(&self, id: ServerId) -> Option<&Server> {
-        self.servers.get(id.0 as usize)?.as_ref()
+    /// A listed server.
+    fn server(&self, id: ServerId) -> &Server {
+        &self.servers[id.0 as usize]
     }
 
     fn server_mut(&mut self, id: ServerId) -> Option<&mut Server> {
-        self.servers.get_mut(id.0 as usize)?.as_mut()
+        self.servers.get_mut(id.0 as usize)
     }
 
     fn class(&self, class: u32) -> Option<&Class> {
@@ -421,7 +410,7 @@
             }
         }
         let (window, aim) = (self.window, tightest_aim(&self.set));
-        let Some(s) = self.servers.get_mut(id.0 as usize).and_then(Option::as_mut) else { return };
+        let Some(s) = self.servers.get_mut(id.0 as usize) else { return };
         if latency.is_some() {
             s.out = s.out.saturating_sub(1);
         }
@@ -500,20 +489,18 @@
         let silent_part = part.min(gap.f() / self.heard_for().f());
         for table in 0..2 {
             let figure: Vec<Option<f64>> = self.ready.iter().map(|id| self.figure(now, *id, table)).collect();
-            let mut tau: Vec<f64> =
-                self.ready.iter().filter_map(|id| Some(self.server(*id)?.tau[table])).collect();
+            let mut tau: Vec<f64> = self.ready.iter().map(|id| self.server(*id).tau[table]).collect();
             let old = tau.clone();
             let x = bent(&figure);
             if table == 0 && self.sees_load() {
                 self.keep_room(now);
             }
             window_step(&mut tau, &x, part, silent_part);
-            for ((id, tau), old) in self.ready.clone().iter().zip(tau).zip(old) {
-                let cold = self.warmth(now, *id) < 1.0;
-                if let Some(s) = self.server_mut(*id) {
-                    // A restarted server at most doubles its share in a window.
-                    s.tau[table] = if cold { tau.min(2.0 * old) } else { tau };
-                }
+            for (at, (tau, old)) in tau.into_iter().zip(old).enumerate() {
+                let cold = self.warmth(now, self.ready[at]) < 1.0;
+                // A restarted server at most doubles its share in a window.
+                let tau = if cold { tau.min(2.0 * old) } else { tau };
+                self.servers[self.ready[at].0 as usize].tau[table] = tau;
             }
         }
         self.refresh_shares(now);
@@ -532,7 +519,7 @@
 
     /// The figure of one server for the load (0) or delay (1) table, if it was heard from lately.
     fn figure(&self, now: Time, id: ServerId, table: usize) -> Option<f64> {
-        let s = self.server(id)?;
+        let s = self.server(id);
         let heard = s.heard.is_some_and(|t| now - t <= self.heard_for()) && s.strikes == 0;
         heard.then(|| if table == 0 { self.load_of(s) } else { s.delay.or(self.delay).unwrap_or(0.0) })
     }
@@ -546,19 +533,17 @@
         let counts = self.counts_requests;
         let fresh = |s: &Server| if counts { (-(now - s.seen).f() / turn).exp() } else { 1.0 };
         let (mut sum, mut weight) = (0.0, 0.0);
-        for s in self.ready.iter().filter_map(|id| self.server(*id)) {
+        for s in self.ready.iter().map(|id| self.server(*id)) {
             sum += fresh(s) * self.load_of(s);
             weight += fresh(s);
         }
         let usual = sum / weight.max(1e-9);
         let bend = |s: &Server| if usual > 0.0 { (-BEND * self.load_of(s) / usual).exp() } else { 1.0 };
-        let room = |id: &ServerId| self.server(*id).map_or(0.0, |s| bend(s) * fresh(s));
-        let rooms: Vec<f64> = self.ready.iter().map(room).collect();
+        let room = |s: &Server| bend(s) * fresh(s);
+        let rooms: Vec<f64> = self.ready.iter().map(|id| room(self.server(*id))).collect();
         let least = ROOM_LEAST * rooms.iter().copied().fold(0.0, f64::max) / rooms.len() as f64;
         for (at, room) in rooms.into_iter().enumerate() {
-            if let Some(s) = self.server_mut(self.ready[at]) {
-                s.room = room.max(least).max(f64::MIN_POSITIVE);
-            }
+            self.servers[self.ready[at].0 as usize].room = room.max(least).max(f64::MIN_POSITIVE);
         }
     }
 
@@ -570,7 +555,7 @@
         for id in &self.ready {
             let near = |s: &Server| if s.zone == self.set.zone { 1.0 } else { self.far };
             let blend = |s: &Server| near(s) * s.room * ((1.0 - ALPHA) * s.tau[1] + ALPHA * s.tau[0]);
-            sum += self.servers[id.0 as usize].as_ref().map_or(0.0, blend);
+            sum += blend(self.server(*id));
             self.shares.push(sum);
         }
     }
@@ -583,7 +568,7 @@
             return;
         }
         let mut data = Vec::with_capacity(PEER_BYTES.0);
-        for s in self.ready.iter().filter_map(|id| self.server(*id)).filter(|s| s.out > 0) {
+        for s in self.ready.iter().map(|id| self.server(*id)).filter(|s| s.out > 0) {
             if data.len() + 4 <= PEER_BYTES.0 {
                 data.extend_from_slice(&s.name().to_le_bytes()[..3]);
                 data.push(s.out.min(255) as u8);
@@ -620,30 +605,29 @@
 
     /// Sums up what other instances told within the silence of a window.
     fn count_told(&mut self, now: Time) {
-        self.servers.iter_mut().flatten().for_each(|s| s.peers_out = 0);
+        self.servers.iter_mut().for_each(|s| s.peers_out = 0);
         for view in self.peers.iter().filter(|view| now - view.at <= HEARD_FOR) {
             for (id, n) in &view.out {
-                if let Some(s) = self.servers[id.0 as usize].as_mut() {
-                    s.peers_out += n;
-                }
+                self.servers[id.0 as usize].peers_out += n;
             }
         }
     }
 
     fn probes_a_request(&self) -> f64 {
-        if !self.set.limits.probes || self.set.reports == Reports::Off || !self.counts_requests {
-            return 0.0;
-        }
-        PROBE_SPEND / self.set.prices.probe.max(PROBE_SPEND / 100.0)
+        let able = self.set.limits.probes && self.set.reports != Reports::Off && self.counts_requests;
+        if able { PROBE_SPEND / self.set.prices.probe.max(PROBE_SPEND / 100.0) } else { 0.0 }
     }
 
-    /// Closes the window early for a request that finds it old: probes every server, if the budget allows it.
-    /// True where the request has to wait for the answers.
+    /// Probes bring reports that tell the requests in hand and are believed.
+    fn looks_pay(&self) -> bool {
+        self.doubt < DOUBT && self.probes_a_request() >= 1.0
+    }
+
+    /// Closes the window early for a request that finds it old: probes servers, if the budget allows it. True
+    /// where the request has to wait for the answers.
     fn looks(&mut self, now: Time, class: u32, todo: &mut Vec<Action>) -> bool {
         let patience = self.patience(class);
-        // Probes would bring more of the reports that are not believed.
-        let believed = self.doubt < DOUBT;
-        if believed && !self.looking && now - self.stepped > patience && self.probes_out == 0 {
+        if self.looks_pay() && !self.looking && now - self.stepped > patience && self.probes_out == 0 {
             self.probe_some(now, todo);
             self.looking = self.probes_out > 0;
             if self.looking {
@@ -653,11 +637,8 @@
         self.looking
     }
 
-    /// How old the last window may be for a request, and how long it waits for the answers of a look: a small part
-    /// of its aim, or a few times what probes take. A server that lets it pass stands still, hangs or is gone.
     fn patience(&self, class: u32) -> Span {
-        let aim = self.class(class).map_or(self.window, |c| c.aim);
-        aim.times(LOOK).max(Span((3.0 * self.probe_delay) as u64)).min(aim.times(LOOK_MOST))
+        self.class(class).map_or(self.window, |c| c.aim.times(LOOK))
     }
 
     fn looked(&mut self, now: Time, todo: &mut Vec<Action>) {
@@ -744,7 +725,7 @@
         if wanted > self.width || wanted < self.width / 2.0 {
             self.width = wanted;
         }
-        let fine = |id: &ServerId| self.server(*id).is_some_and(|s| s.strikes == 0);
+        let fine = |id: &ServerId| self.server(*id).strikes == 0;
         let mut left = self.width;
         let enough = self.listed.iter().take_while(|id| {
             let more = left > 0.0;
@@ -753,15 +734,22 @@
         });
         let enough = enough.count();
         if enough != self.ready.len() {
-            self.ready.clear();
-            self.ready.extend_from_slice(&self.listed[..enough]);
+            let (used, unused) = self.listed.split_at(enough);
+            self.ready = used.to_vec();
+            unused.iter().for_each(|id| self.servers[id.0 as usize].tau = [0.0; 2]);
+            for id in used {
+                // Those that enter start at the mean share.
+                let enter = |tau: f64| if tau > 0.0 { tau } else { 1.0 / enough as f64 };
+                let s = &mut self.servers[id.0 as usize];
+                s.tau = s.tau.map(enter);
+            }
         }
     }
 
     /// The order in which this balancer uses the listed servers: from its own place in the order of their common
     /// names in growing steps, so that all balancers together cover them evenly and hardly two use the same few.
     fn own_order(&self, mut ring: Vec<ServerId>) -> Vec<ServerId> {
-        ring.sort_unstable_by_key(|id| self.server(*id).map(|s| s.common));
+        ring.sort_unstable_by_key(|id| self.server(*id).common);
         let n = ring.len();
         let start = (u64::from(self.set.me) * n as u64 / u64::from(self.set.balancers.max(1))) as usize;
         let mut taken = vec![false; n];
@@ -774,7 +762,7 @@
 
     /// Whether a server may get a request now. All filters on the shares stand here.
     fn eligible(&mut self, now: Time, id: ServerId, wanted: Wanted) -> bool {
-        let Some(s) = self.server(id) else { return false };
+        let s = self.server(id);
         let in_group = match wanted.group {
             None | Some((Group::All, _)) => true,
             Some((Group::Zone, zone)) => s.zone == zone,
@@ -789,8 +777,8 @@
             && wanted.not != Some(id)
             && s.shunned <= now
             && (s.strikes == 0 || s.out == 0)
-            && !(s.unreachable && self.probes_a_request() >= 1.0 && self.doubt < DOUBT)
-            && s.probing.is_none_or(|t| now - t < self.patience(wanted.class))
+            && !(s.unreachable && self.looks_pay())
+            && s.probing.is_none_or(|t| now - t <= self.window)
             && !crowded
             && self.cold_allows(now, id)
     }
@@ -832,7 +820,7 @@
 
     /// The part of its capacity that a server surely has by now.
     fn warmth(&self, now: Time, id: ServerId) -> f64 {
-        let Some(s) = self.server(id) else { return 1.0 };
+        let s = self.server(id);
         let (cold, from) = (self.set.safety.cold, self.set.safety.cold_from);
         let age = now - s.born;
         if s.born == Time(0) || age >= cold { 1.0 } else { from + (1.0 - from) * age.f() / cold.f() }
@@ -866,10 +854,8 @@
             let limit = (SILENCE * s.delay.unwrap_or(mean).max(mean)).max(least.f());
             if s.waiting.is_some_and(|t| (now - t).f() > limit) {
                 if s.strikes == 0 {
-                    todo.push(Action::Log {
-                        server: Some(id),
-                        text: "silent with attempts out, avoided".into(),
-                    });
+                    let text = "silent with attempts out, avoided".into();
+                    todo.push(Action::Log { server: Some(id), text });
                 }
                 s.strike(now, least, false);
                 s.waiting = Some(now);
@@ -909,8 +895,8 @@
             (Some(_), Effect::Unsafe) => false,
             (Some(first), Effect::Keyed { group, window }) => {
                 let s = self.server(first.server);
-                wanted.group = s.map(|s| (group, if group == Group::Zone { s.zone } else { s.cell }));
-                s.is_some() && now + self.set.tick < first.at + window
+                wanted.group = Some((group, if group == Group::Zone { s.zone } else { s.cell }));
+                now + self.set.tick < first.at + window
             }
         };
         // Work that no standard core ends in time would only keep a server from what can be served.
@@ -937,7 +923,7 @@
 
     fn send(&mut self, now: Time, id: RequestId, server: ServerId, until: Time, todo: &mut Vec<Action>) {
         self.sends += 1;
-        let ahead = self.server(server).map_or(0.0, |s| self.load_of(s));
+        let ahead = self.load_of(self.server(server));
         if let Some(s) = self.server_mut(server) {
             s.out += 1;
             s.sent_since += 1.0;
@@ -1002,39 +988,21 @@
 
     fn on_members(&mut self, now: Time, kind: ListKind, entries: &[Member], todo: &mut Vec<Action>) {
         match kind {
-            ListKind::Failed => {
-                self.failures += 1;
-                let most = CALL_AGAIN.0.0 << self.failures.min(8);
-                let most = most.min(CALL_AGAIN.1.0).min(self.set.safety.ask_within.0 / 4).max(2);
-                let delay = Span(self.rng.random_range(most / 2..=most));
-                self.subscribed = false;
-                self.call_due = now + delay;
-                todo.push(Action::Timer { token: CALL, delay });
-                if self.failures == 3 {
-                    todo.push(Action::Log { server: None, text: "three list calls failed in a row".into() });
-                }
-                return;
-            }
+            ListKind::Failed => return self.call_again(now, todo),
             ListKind::Cached => {}
-            ListKind::Whole | ListKind::Changes => {
-                self.failures = 0;
-                self.subscribed = true;
-            }
+            ListKind::Whole | ListKind::Changes => (self.failures, self.subscribed) = (0, true),
         }
-        if matches!(kind, ListKind::Whole | ListKind::Cached) {
-            for s in self.servers.iter_mut().flatten() {
-                s.state = State::Gone;
-            }
+        if kind != ListKind::Changes {
+            self.servers.iter_mut().for_each(|s| s.state = State::Gone);
         }
         for entry in entries {
             self.list(now, entry);
         }
         let ids = (0..self.servers.len() as u32).map(ServerId);
-        let taking = |id: &ServerId| self.server(*id).is_some_and(|s| s.state == State::Ready);
+        let taking = |id: &ServerId| self.server(*id).state == State::Ready;
         self.listed = self.own_order(ids.filter(taking).collect());
-        let named = |id: &ServerId| Some((self.server(*id)?.name(), *id));
-        self.names = self.listed.iter().filter_map(named).collect();
-        let weights = self.listed.iter().filter_map(|id| self.server(*id)).map(|s| s.weight);
+        self.names = self.listed.iter().map(|id| (self.server(*id).name(), *id)).collect();
+        let weights = self.listed.iter().map(|id| self.server(*id).weight);
         self.mean_weight = weights.sum::<f64>() / self.listed.len().max(1) as f64;
         self.ready.clear();
         self.use_enough(Span(0));
@@ -1045,25 +1013,16 @@
     fn list(&mut self, now: Time, entry: &Member) {
         let at = entry.server.0 as usize;
         if self.servers.len() <= at {
-            self.servers.resize(at + 1, None);
+            self.servers.resize(at + 1, Server::default());
         }
-        let mean = |t: usize| {
-            let known = || self.ready.iter().filter_map(|id| self.server(*id));
-            let n = known().count();
-            if n == 0 { 1.0 } else { known().map(|s| s.tau[t]).sum::<f64>() / n as f64 }
-        };
-        let tau = [mean(0), mean(1)];
-        let credit = self.rng.random::<f64>();
-        let sends = self.sends;
-        let fresh = Server { born: entry.born, tau, room: 1.0, heard: Some(now), ..Server::default() };
-        let (common, credit_mark) = (entry.common, sends);
-        let known = self.servers[at].get_or_insert(Server { common, credit, credit_mark, ..fresh });
-        if entry.born > known.born {
-            // It restarted: what was known of the old process is void.
-            (known.born, known.credit, known.credit_mark) = (entry.born, credit, sends);
-            (known.reported, known.sent_since, known.util, known.delay) = (None, 0.0, None, None);
-            (known.strikes, known.shunned, known.waiting) = (0, now, None);
-            known.tau = [known.tau[0].min(tau[0]), known.tau[1].min(tau[1])];
+        let (credit, credit_mark) = (self.rng.random::<f64>(), self.sends);
+        let known = &mut self.servers[at];
+        if entry.born > known.born || known.heard.is_none() {
+            // New or restarted: what was known of an old process is void, and it enters at the mean.
+            let (born, common, heard) = (entry.born, entry.common, Some(now));
+            let (out, probing, room) = (known.out, known.probing, 1.0);
+            let rest = Server::default();
+            *known = Server { born, common, heard, credit, credit_mark, out, probing, room, ..rest };
         }
         (known.state, known.weight, known.zone, known.cell) =
             (entry.state, entry.weight, entry.zone, entry.cell);
@@ -1074,10 +1033,25 @@
     /// time: each failure once left two timers behind, and calls doubled until they flooded the host.
     fn call_list(&mut self, now: Time, todo: &mut Vec<Action>) {
         if self.set.discovery == Discovery::OnRequest && !self.subscribed && now >= self.call_due {
-            let again = Span(self.set.safety.ask_within.0 / 4).max(CALL_AGAIN.0);
-            self.call_due = now + again;
             todo.push(Action::Watch);
-            todo.push(Action::Timer { token: CALL, delay: again });
+            self.call_after(now, Span(self.set.safety.ask_within.0 / 4).max(CALL_AGAIN.0), todo);
+        }
+    }
+
+    fn call_after(&mut self, now: Time, delay: Span, todo: &mut Vec<Action>) {
+        self.call_due = now + delay;
+        todo.push(Action::Timer { token: CALL, delay });
+    }
+
+    fn call_again(&mut self, now: Time, todo: &mut Vec<Action>) {
+        self.failures += 1;
+        self.subscribed = false;
+        let most = (CALL_AGAIN.0.0 << self.failures.min(8)).min(CALL_AGAIN.1.0);
+        let most = most.min(self.set.safety.ask_within.0 / 4).max(2);
+        let delay = Span(self.rng.random_range(most / 2..=most));
+        self.call_after(now, delay, todo);
+        if self.failures == 3 {
+            todo.push(Action::Log { server: None, text: "three list calls failed in a row".into() });
         }
     }
 }
