--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,9 +22,8 @@
 const WINDOWS_IN_AIM: f64 = 4.0;
 /// The longest window, the paper's one second: a slower one would sleep through a crash.
 const WINDOW_MOST: Span = Span(1_000_000);
-/// Time over which shares close most of their gap, where reports count requests and are as fresh as a probe.
+/// Windows over which shares close most of their gap, where loads are known afresh and where they are not.
 const SETTLE_FRESH: f64 = 0.2;
-/// The same in windows where the load figure is slow (utilisation) or our own count alone.
 const SETTLE_SLOW: f64 = 4.5;
 /// How long an answer keeps a server among those heard from: the paper's window of one second.
 const HEARD_FOR: Span = Span(1_000_000);
@@ -54,18 +53,17 @@
 const SMOOTH_TURN: f64 = 0.03;
 /// A server is suspected when nothing came from it for this many mean delays while an attempt was out.
 const SILENCE: f64 = 3.0;
-/// How much more than a warm server's mean work, times its warmth, a cold one may get from us.
+/// How much more than a mean server's work, times its warmth, a cold one may get, and how much at once.
 const COLD_EXTRA: f64 = 1.25;
-/// Sends to a cold server that may follow each other at once.
 const COLD_BURST: f64 = 1.5;
 /// A hint this many times the time left is hopeless; hints are rough, so some above it may still be served.
 const HOPELESS: f64 = 1.5;
-/// Weight of one request in a tenant's part of the traffic.
+/// Weight of one request in a tenant's part of the traffic, and the part of the probed servers that must be
+/// busy before tenants' shares count.
 const TENANT_SMOOTH: f64 = 0.01;
-/// Part of the probed servers that must be busy before tenants' shares count.
 const CROWDED: f64 = 0.8;
-/// The least servers a balancer uses where connections have a price, and those for each attempt that it has out
-/// in good times, by a rate taken over some windows that fades slowly.
+/// The least servers a balancer uses where connections have a price, and those for each attempt that it has
+/// out in good times, by a rate taken over some windows that fades slowly.
 const USED_LEAST: f64 = 3.0;
 const USED_EACH: f64 = 2.0;
 const USED_OVER: Span = Span(2_000_000);
@@ -116,11 +114,10 @@
     heard: Option<Time>,
     /// Since when something is out here without any sign of life.
     waiting: Option<Time>,
-    /// A failed connection or a broken one: keep away until then unless something answers.
-    shunned: Time,
-    /// Times in a row that it was silent or out of reach; until it answers it gets one attempt at a time.
+    /// Times in a row that it was silent or out of reach, until when it is left out for that, and whether the
+    /// last was a connection or a probe, so that a probe can clear it. Then it gets one attempt at a time.
     strikes: u32,
-    /// The last strike was a connection or a probe, so that a probe can clear it.
+    shunned: Time,
     unreachable: bool,
     /// When the probe that is out was sent.
     probing: Option<Time>,
@@ -215,7 +212,7 @@
     listed: Vec<ServerId>,
     /// Those it uses: the first of `listed`.
     ready: Vec<ServerId>,
-    /// Smoothed own sends a microsecond, their fading peak, the sends counted in, and the servers wanted.
+    /// Smoothed own sends a microsecond, their fading peak, the sends counted in; servers wanted for them.
     rate: (f64, f64, u64),
     width: f64,
     /// Cumulative shares over `ready`.
@@ -253,7 +250,6 @@
     far: f64,
     /// What the servers have of their capacity in all, and whether any has all of it, as of the last window.
     warm: (f64, bool),
-    /// Weights are set against this one.
     mean_weight: f64,
     subscribed: bool,
     failures: u32,
@@ -339,14 +335,8 @@
                     self.advance(now, id, todo);
                 }
             }
-            Event::Gone { id } => {
-                self.open.remove(&id);
-            }
-            Event::First { id, .. } => {
-                if let Some(open) = self.open.get_mut(&id) {
-                    open.streaming = true;
-                }
-            }
+            Event::Gone { id } => drop(self.open.remove(&id)),
+            Event::First { id, .. } => self.open.get_mut(&id).into_iter().for_each(|o| o.streaming = true),
             Event::Outcome { id, attempt, status, closed, latency, server, load } => {
                 self.note(now, server, status, Some(latency), load);
                 self.learn_turn(now, id, attempt, status, latency);
@@ -427,18 +417,16 @@
         {
             (s.strikes, s.shunned, s.unreachable) = (0, Time(0), false);
         }
-        if status == Status::Full {
-            s.shunned = now + window;
-        }
         if s.out == 0 {
             s.waiting = None;
         } else if latency.is_some() && matches!(status, Status::Ok | Status::Error | Status::Full) {
             s.waiting = Some(now);
         }
+        if status == Status::Full {
+            s.shunned = now + window;
+            s.reported = s.reported.map(|r| r.max(f64::from(s.out) + 1.0));
+        }
         if status != Status::Ok {
-            if status == Status::Full {
-                s.reported = s.reported.map(|r| r.max(f64::from(s.out) + 1.0));
-            }
             return;
         }
         if let Some(value) = inflight {
@@ -473,17 +461,12 @@
     fn step(&mut self, now: Time, todo: &mut Vec<Action>) {
         let gap = now - self.stepped;
         self.stepped = now;
-        if !self.peers.is_empty() {
-            self.count_told(now);
-        }
+        self.count_told(now);
         self.suspect(now, todo);
         self.use_enough(gap);
-        self.load_limit = f64::MAX;
-        for (class, c) in self.set.classes.iter().enumerate() {
-            if let Some(turn) = self.turn(now, class) {
-                self.load_limit = self.load_limit.min(ROOM * c.aim.f() / turn - 1.0);
-            }
-        }
+        let classes = self.set.classes.iter().enumerate();
+        let limits = classes.filter_map(|(n, c)| Some(ROOM * c.aim.f() / self.turn(now, n)? - 1.0));
+        self.load_limit = limits.fold(f64::MAX, f64::min);
         let settle = if self.sees_load() { SETTLE_FRESH } else { SETTLE_SLOW };
         let part = 1.0 - (-gap.f() / (self.window.f() * settle)).exp();
         let silent_part = part.min(gap.f() / self.heard_for().f());
@@ -524,10 +507,10 @@
         heard.then(|| if table == 0 { self.load_of(s) } else { s.delay.or(self.delay).unwrap_or(0.0) })
     }
 
-    /// Departure: where loads are known afresh, a share is also multiplied by the room left. A raised entry falls
-    /// only by the others' rise, so a server just filled would keep its share for another window. Loads count
-    /// against the usual one, and a report older than a mean delay counts less, as the server has had time to
-    /// fill: in a large fleet old reports of many servers outweighed the fresh ones of a look.
+    /// Departure where loads are known afresh: a share is also multiplied by the room left. A raised entry
+    /// falls only by the others' rise, so a server just filled would keep its share. Loads count against the
+    /// usual one, and a report older than a mean delay counts less, as the server has had time to fill: in a
+    /// large fleet old reports of many servers outweighed the fresh ones of a look.
     fn keep_room(&mut self, now: Time) {
         let turn = self.delay.unwrap_or(tightest_aim(&self.set).f());
         let counts = self.counts_requests;
@@ -561,8 +544,8 @@
     }
 
     /// Departure where messages are allowed: the load figure counts the attempts of all instances. Each tells
-    /// its own once a window, four bytes a server, as long as own traffic pays for telling all others; what is
-    /// older than the silence of a window is void.
+    /// its own once a window, four bytes a server, as long as own traffic pays for telling all others; after
+    /// a second that is void.
     fn tell_peers(&mut self, todo: &mut Vec<Action>) {
         if !self.set.limits.peers || self.set.balancers < 2 || self.counts_requests {
             return;
@@ -687,29 +670,24 @@
             }
         }
         // Most of the share mass is out of bounds: draw exactly among what is left.
+        // A repeat that is bound to a group may find it among the servers not used otherwise.
         let mut left: Vec<(ServerId, f64)> = Vec::new();
-        let mut sum = 0.0;
-        for at in 0..self.ready.len() {
-            let (id, below) = (self.ready[at], if at == 0 { 0.0 } else { self.shares[at - 1] });
-            if self.eligible(now, id, wanted) {
-                sum += self.shares[at] - below;
-                left.push((id, sum));
-            }
-        }
-        // A repeat that is bound to a group finds it among the servers not used otherwise.
-        for at in if wanted.group.is_some() { self.ready.len()..self.listed.len() } else { 0..0 } {
+        let (mut sum, mut below, mean) = (0.0, 0.0, total / self.ready.len() as f64);
+        for at in 0..if wanted.group.is_some() { self.listed.len() } else { self.ready.len() } {
+            let upto = self.shares.get(at).copied().unwrap_or(below + mean);
             if self.eligible(now, self.listed[at], wanted) {
-                sum += total / self.ready.len() as f64;
+                sum += upto - below;
                 left.push((self.listed[at], sum));
             }
+            below = upto;
         }
         let x = self.rng.random::<f64>() * sum;
         left.iter().find(|(_, c)| x < *c).or(left.last()).map(|(id, _)| *id)
     }
 
-    /// Departure where open connections have a price: a balancer uses as many servers as the price allows if all
-    /// do alike, more as it has more attempts out, and one more for each that is silent or out of reach. Hundreds
-    /// of balancers that each used every server filled the servers' connections.
+    /// Departure where open connections have a price: a balancer uses the servers that it allows if all do
+    /// alike, more the more it sends, and one more for each that is silent or out of reach. Hundreds that
+    /// each used every server filled the servers' connections.
     fn use_enough(&mut self, gap: Span) {
         let (rate, peak, counted) = self.rate;
         let part = 1.0 - (-gap.f() / USED_OVER.f()).exp();
@@ -719,20 +697,18 @@
         self.least_delay = self.least_delay.min(self.delay.unwrap_or(f64::MAX));
         let own = if self.least_delay < f64::MAX { peak * self.least_delay * USED_EACH } else { 0.0 };
         let balancers = f64::from(self.set.balancers.max(1));
-        let paid =
-            CONNECTION_SPEND * 100.0 * self.listed.len() as f64 / (self.set.prices.connection * balancers);
-        let wanted = paid.max(USED_LEAST).max(own).min(self.listed.len() as f64).ceil();
+        let all = self.listed.len() as f64;
+        let paid = CONNECTION_SPEND * 100.0 * all / (self.set.prices.connection * balancers);
+        let wanted = paid.max(USED_LEAST).max(own).min(all).ceil();
         if wanted > self.width || wanted < self.width / 2.0 {
             self.width = wanted;
         }
-        let fine = |id: &ServerId| self.server(*id).strikes == 0;
         let mut left = self.width;
-        let enough = self.listed.iter().take_while(|id| {
-            let more = left > 0.0;
-            left -= f64::from(fine(id));
-            more
-        });
-        let enough = enough.count();
+        let fine = |id: &&ServerId| {
+            left -= f64::from(self.server(**id).strikes == 0);
+            left >= 0.0
+        };
+        let enough = self.listed.iter().take_while(fine).count();
         if enough != self.ready.len() {
             let (used, unused) = self.listed.split_at(enough);
             self.ready = used.to_vec();
@@ -746,8 +722,8 @@
         }
     }
 
-    /// The order in which this balancer uses the listed servers: from its own place in the order of their common
-    /// names in growing steps, so that all balancers together cover them evenly and hardly two use the same few.
+    /// The order in which this balancer uses the listed servers: from its own place in the order of their
+    /// common names in growing steps, so that all together cover them evenly and few use the same.
     fn own_order(&self, mut ring: Vec<ServerId>) -> Vec<ServerId> {
         ring.sort_unstable_by_key(|id| self.server(*id).common);
         let n = ring.len();
@@ -939,12 +915,9 @@
     /// The final answer of a request that will not be served: refused where that is true, else failed.
     fn give_up(&mut self, id: RequestId, todo: &mut Vec<Action>) {
         let Some(open) = self.open.remove(&id) else { return };
-        let harmless = match self.class(open.class).map(|c| c.effect) {
-            _ if open.may_run().is_none() => true,
-            Some(Effect::Safe | Effect::Keyed { group: Group::All, .. }) => true,
-            Some(Effect::Keyed { .. } | Effect::Unsafe) | None => false,
-        };
-        if harmless {
+        let effect = self.class(open.class).map(|c| c.effect);
+        let repeatable = matches!(effect, Some(Effect::Safe | Effect::Keyed { group: Group::All, .. }));
+        if repeatable || open.may_run().is_none() {
             let retry_after = self.set.limits.retry_after.map(|most| most.min(self.window));
             todo.push(Action::Refuse { id, retry_after });
         } else {
@@ -955,8 +928,7 @@
     // ------------------------------------------------------------ admission
 
     /// Whether a request counts as beyond its tenant's share: the part of a tenant's requests by which its
-    /// part of our traffic exceeds its part of all quotas. Acts where tenants have quotas and excess is
-    /// worth less.
+    /// part of our traffic exceeds its part of all quotas, where that is worth less.
     fn over_share(&mut self, tenant: u32) -> bool {
         let quotas: f64 = self.set.tenants.iter().map(|t| t.quota_per_s).sum();
         let Some(quota) = self.set.tenants.get(tenant as usize).map(|t| t.quota_per_s / quotas) else {
@@ -1020,8 +992,7 @@
         if entry.born > known.born || known.heard.is_none() {
             // New or restarted: what was known of an old process is void, and it enters at the mean.
             let (born, common, heard) = (entry.born, entry.common, Some(now));
-            let (out, probing, room) = (known.out, known.probing, 1.0);
-            let rest = Server::default();
+            let (out, probing, room, rest) = (known.out, known.probing, 1.0, Server::default());
             *known = Server { born, common, heard, credit, credit_mark, out, probing, room, ..rest };
         }
         (known.state, known.weight, known.zone, known.cell) =
