--- a/src/rules.rs
+++ b/src/rules.rs
@@ -230,7 +230,9 @@
     probe_next: usize,
     /// Smoothed part of the probed servers that were busy.
     busy: f64,
-    /// The least that the smoothed delay of all answers was: what an answer takes in good times.
+    /// Served answers, their delay smoothed slowly, and the least of that: what one takes in good times.
+    served: u32,
+    usual_delay: f64,
     least_delay: f64,
     /// Smoothed delay of all answers, and by class of one request's turn at a server.
     delay: Option<f64>,
@@ -273,7 +275,9 @@
             ready: Vec::new(),
             rate: (0.0, 0.0, 0),
             width: 0.0,
-            least_delay: f64::MAX,
+            served: 0,
+            usual_delay: 0.0,
+            least_delay: 0.0,
             shares: Vec::new(),
             open: FxHashMap::default(),
             held: VecDeque::new(),
@@ -444,6 +448,12 @@
         if let Some(latency) = latency {
             s.delay = Some(smooth(s.delay, latency.f(), SMOOTH));
             self.delay = Some(smooth(self.delay, latency.f(), SMOOTH));
+            self.served = self.served.saturating_add(1);
+            let weight = SMOOTH_TURN.max(1.0 / f64::from(self.served));
+            self.usual_delay += weight * (latency.f() - self.usual_delay);
+            // The first few tell too little: one quick answer once kept a busy balancer at five servers.
+            let told = f64::from(self.served) * SMOOTH_TURN >= 1.0;
+            self.least_delay = if told { self.least_delay.min(self.usual_delay) } else { self.usual_delay };
         }
     }
 
@@ -694,8 +704,7 @@
         let rate = rate + part * ((self.sends - counted) as f64 / gap.f().max(1.0) - rate);
         let peak = (peak * (-gap.f() / USED_FADE.f()).exp()).max(rate);
         self.rate = (rate, peak, self.sends);
-        self.least_delay = self.least_delay.min(self.delay.unwrap_or(f64::MAX));
-        let own = if self.least_delay < f64::MAX { peak * self.least_delay * USED_EACH } else { 0.0 };
+        let own = peak * self.least_delay * USED_EACH;
         let balancers = f64::from(self.set.balancers.max(1));
         let all = self.listed.len() as f64;
         let paid = CONNECTION_SPEND * 100.0 * all / (self.set.prices.connection * balancers);
@@ -827,7 +836,9 @@
             let id = self.ready[i];
             let Some(s) = self.server_mut(id) else { continue };
             // Not under the tightest aim: at the start a few quick answers had every server suspected.
-            let limit = (SILENCE * s.delay.unwrap_or(mean).max(mean)).max(least.f());
+            // One long request is no sign yet where a few are out: quiet balancers suspected every server.
+            let few = 1.0 + 2.0 / f64::from(s.out.max(1));
+            let limit = (SILENCE * few * s.delay.unwrap_or(mean).max(mean)).max(least.f());
             if s.waiting.is_some_and(|t| (now - t).f() > limit) {
                 if s.strikes == 0 {
                     let text = "silent with attempts out, avoided".into();
