--- a/src/rules.rs
+++ b/src/rules.rs
@@ -20,13 +20,11 @@
 const FLOOR: f64 = 0.01;
 /// Windows in the tightest aim: loads must be seen several times while a request can still be served in time.
 const WINDOWS_IN_AIM: f64 = 4.0;
-/// The longest window, the paper's one second: a slower one would sleep through a crash.
-const WINDOW_MOST: Span = Span(1_000_000);
+/// The paper's window: the longest here, and how long an answer keeps a server among those heard from.
+const SECOND: Span = Span(1_000_000);
 /// Windows over which shares close most of their gap, where loads are known afresh and where they are not.
 const SETTLE_FRESH: f64 = 0.2;
 const SETTLE_SLOW: f64 = 4.5;
-/// How long an answer keeps a server among those heard from: the paper's window of one second.
-const HEARD_FOR: Span = Span(1_000_000);
 /// How often a server could have been asked, in the mean, before its silence counts.
 const ASKED: f64 = 3.0;
 /// How sharply a load above the mean counts: bent by 1 - exp(-BEND * load / mean) before it is divided by the
@@ -207,6 +205,8 @@
     rng: SmallRng,
     window: Span,
     counts_requests: bool,
+    /// Loads are known afresh: reports count requests, or most other instances tell theirs.
+    sees_load: bool,
     servers: Vec<Server>,
     /// Listed servers that take new work, in the order in which this balancer uses them.
     listed: Vec<ServerId>,
@@ -225,20 +225,19 @@
     probes_out: u32,
     looking: bool,
     sends: u64,
-    born: Time,
+    born: Option<Time>,
     probe_credit: f64,
     probe_next: usize,
-    /// Smoothed part of the probed servers that were busy.
+    /// Smoothed part of the probed servers that were busy, and their requests.
     busy: f64,
-    /// Served answers, their delay smoothed slowly, and the least of that: what one takes in good times.
+    usual: f64,
+    /// Served answers, their smoothed delay and the least of that; by class one request's turn at a server.
     served: u32,
-    usual_delay: f64,
-    least_delay: f64,
-    /// Smoothed delay of all answers, and by class of one request's turn at a server.
     delay: Option<f64>,
+    least_delay: f64,
     turns: Vec<Turn>,
-    /// Each tenant's smoothed part of our traffic.
-    tenants: Vec<f64>,
+    /// Each tenant's part of all quotas and smoothed part of our traffic.
+    tenants: Vec<(f64, f64)>,
     /// Smoothed part of the reports that miss attempts of ours.
     doubt: f64,
     /// The most load behind which every class is still thought to be answered within its aim.
@@ -257,27 +256,25 @@
     failures: u32,
     /// The next list call is not made before.
     call_due: Time,
-    started: bool,
 }
 
 impl Balancer {
     /// A balancer that knows nothing but its settings and its seed.
     pub fn new(set: Settings, seed: u64) -> Balancer {
         let aim = tightest_aim(&set);
+        let quotas = set.tenants.iter().map(|t| t.quota_per_s).sum::<f64>().max(f64::MIN_POSITIVE);
         let counts = |f: &Field| matches!(f, Field::Inflight | Field::Queue);
         let counts_requests = set.reports != Reports::Off && set.fields.iter().any(counts);
         Balancer {
-            window: aim.times(1.0 / WINDOWS_IN_AIM).max(set.tick).min(WINDOW_MOST).max(Span(1)),
+            window: aim.times(1.0 / WINDOWS_IN_AIM).max(set.tick).min(SECOND).max(Span(1)),
             counts_requests,
+            sees_load: counts_requests,
             rng: SmallRng::seed_from_u64(seed),
             servers: Vec::new(),
             listed: Vec::new(),
             ready: Vec::new(),
             rate: (0.0, 0.0, 0),
             width: 0.0,
-            served: 0,
-            usual_delay: 0.0,
-            least_delay: 0.0,
             shares: Vec::new(),
             open: FxHashMap::default(),
             held: VecDeque::new(),
@@ -285,15 +282,15 @@
             probes_out: 0,
             looking: false,
             sends: 0,
-            born: Time(0),
+            born: None,
             probe_credit: 0.0,
             probe_next: 0,
             busy: 0.5,
+            usual: 0.5,
+            served: 0,
             delay: None,
-            tenants: {
-                let quotas: f64 = set.tenants.iter().map(|t| t.quota_per_s).sum();
-                set.tenants.iter().map(|t| t.quota_per_s / quotas.max(1.0)).collect()
-            },
+            least_delay: 0.0,
+            tenants: set.tenants.iter().map(|t| (t.quota_per_s / quotas, t.quota_per_s / quotas)).collect(),
             turns: vec![Turn::default(); set.classes.len()],
             doubt: 0.0,
             load_limit: f64::MAX,
@@ -306,16 +303,14 @@
             subscribed: false,
             failures: 0,
             call_due: Time(0),
-            started: false,
             set,
         }
     }
 
     /// Takes one event and adds what is to be done.
     pub fn on_event(&mut self, now: Time, event: Event<'_>, todo: &mut Vec<Action>) {
-        if !self.started {
-            self.started = true;
-            (self.stepped, self.born) = (now, now);
+        if self.born.is_none() {
+            (self.stepped, self.born) = (now, Some(now));
             let first = Span(self.rng.random_range(1..=self.window.0));
             todo.push(Action::Timer { token: STEP, delay: first });
             self.call_list(now, todo);
@@ -345,7 +340,7 @@
                 self.note(now, server, status, Some(latency), load);
                 self.learn_turn(now, id, attempt, status, latency);
                 self.on_outcome(now, id, closed, todo);
-                self.serve_held(now, false, todo);
+                self.serve_held(now, 1, todo);
             }
             Event::Probed { server, status, load, .. } => {
                 if let Some(s) = self.server_mut(server).filter(|s| s.probing.is_some()) {
@@ -354,8 +349,9 @@
                 }
                 self.note(now, server, status, None, load);
                 if let Some(s) = self.servers.get(server.0 as usize).filter(|_| status == Status::Ok) {
-                    let busy = f64::from(self.load_of(s) >= 0.5);
-                    self.busy = smooth(Some(self.busy), busy, SMOOTH_TURN);
+                    let load = s.reported.unwrap_or(0.0);
+                    self.busy = smooth(Some(self.busy), f64::from(load >= 0.5), SMOOTH_TURN);
+                    self.usual = smooth(Some(self.usual), load, SMOOTH_TURN);
                 }
                 if self.looking && self.probes_out == 0 {
                     self.looked(now, todo);
@@ -365,10 +361,10 @@
                 self.step(now, todo);
                 self.tell_peers(todo);
                 todo.push(Action::Timer { token: STEP, delay: self.window });
-                self.serve_held(now, true, todo);
+                self.serve_held(now, usize::MAX, todo);
             }
             Event::Timer { token: LOOKED } if self.looking => self.looked(now, todo),
-            Event::Timer { token: HELD } => self.serve_held(now, true, todo),
+            Event::Timer { token: HELD } => self.serve_held(now, usize::MAX, todo),
             Event::Timer { token: CALL } => self.call_list(now, todo),
             Event::Peer { from, data } => self.on_peer(now, from, data),
             Event::Timer { .. } => {}
@@ -447,13 +443,12 @@
         }
         if let Some(latency) = latency {
             s.delay = Some(smooth(s.delay, latency.f(), SMOOTH));
-            self.delay = Some(smooth(self.delay, latency.f(), SMOOTH));
             self.served = self.served.saturating_add(1);
             let weight = SMOOTH_TURN.max(1.0 / f64::from(self.served));
-            self.usual_delay += weight * (latency.f() - self.usual_delay);
+            let delay = smooth(self.delay, latency.f(), weight);
+            self.delay = Some(delay);
             // The first few tell too little: one quick answer once kept a busy balancer at five servers.
-            let told = f64::from(self.served) * SMOOTH_TURN >= 1.0;
-            self.least_delay = if told { self.least_delay.min(self.usual_delay) } else { self.usual_delay };
+            self.least_delay = if weight > SMOOTH_TURN { delay } else { self.least_delay.min(delay) };
         }
     }
 
@@ -461,12 +456,22 @@
     /// utilisation with our own count in flight against its size.
     fn load_of(&self, s: &Server) -> f64 {
         match (self.counts_requests, s.reported) {
-            (true, Some(reported)) if self.doubt < DOUBT => (reported + s.sent_since).max(f64::from(s.out)),
-            _ if self.sees_load() => f64::from(s.out + s.peers_out) * self.mean_weight / s.weight.max(0.01),
+            // What was heard long ago tells no more than what is usual.
+            (true, reported) if self.doubt < DOUBT => {
+                let (known, fresh) = (reported.unwrap_or(0.0) + s.sent_since, self.fresh(s));
+                (self.usual + fresh * (known - self.usual)).max(f64::from(s.out))
+            }
+            _ if self.sees_load => f64::from(s.out + s.peers_out) * self.mean_weight / s.weight.max(0.01),
             _ => s.util.unwrap_or(0.0) + f64::from(s.out) * self.mean_weight / s.weight.max(0.01),
         }
     }
 
+    /// How much the last report of a server still tells: in a mean delay it has had time to fill or to empty.
+    fn fresh(&self, s: &Server) -> f64 {
+        let turn = self.delay.unwrap_or(tightest_aim(&self.set).f());
+        if self.counts_requests { (-(self.stepped - s.seen).f() / turn).exp() } else { 1.0 }
+    }
+
     /// One window: every server heard from rises by its figures, the others evaporate, both at once.
     fn step(&mut self, now: Time, todo: &mut Vec<Action>) {
         let gap = now - self.stepped;
@@ -477,7 +482,7 @@
         let classes = self.set.classes.iter().enumerate();
         let limits = classes.filter_map(|(n, c)| Some(ROOM * c.aim.f() / self.turn(now, n)? - 1.0));
         self.load_limit = limits.fold(f64::MAX, f64::min);
-        let settle = if self.sees_load() { SETTLE_FRESH } else { SETTLE_SLOW };
+        let settle = if self.sees_load { SETTLE_FRESH } else { SETTLE_SLOW };
         let part = 1.0 - (-gap.f() / (self.window.f() * settle)).exp();
         let silent_part = part.min(gap.f() / self.heard_for().f());
         for table in 0..2 {
@@ -485,8 +490,8 @@
             let mut tau: Vec<f64> = self.ready.iter().map(|id| self.server(*id).tau[table]).collect();
             let old = tau.clone();
             let x = bent(&figure);
-            if table == 0 && self.sees_load() {
-                self.keep_room(now);
+            if table == 0 && self.sees_load {
+                self.keep_room();
             }
             window_step(&mut tau, &x, part, silent_part);
             for (at, (tau, old)) in tau.into_iter().zip(old).enumerate() {
@@ -502,12 +507,12 @@
     /// Departure for quiet balancers: a server is silent only after it could have been asked a few times.
     /// Otherwise the few heard from rise, are drawn again, and the rest starve unheard.
     fn heard_for(&self) -> Span {
-        HEARD_FOR.max(self.own_gap().times(self.ready.len() as f64 * ASKED))
+        SECOND.max(self.own_gap().times(self.ready.len() as f64 * ASKED))
     }
 
     /// The mean time between own sends.
     fn own_gap(&self) -> Span {
-        Span((self.stepped - self.born).0 / self.sends.max(1))
+        Span(self.born.map_or(0, |born| (self.stepped - born).0) / self.sends.max(1))
     }
 
     /// The figure of one server for the load (0) or delay (1) table, if it was heard from lately.
@@ -521,10 +526,8 @@
     /// falls only by the others' rise, so a server just filled would keep its share. Loads count against the
     /// usual one, and a report older than a mean delay counts less, as the server has had time to fill: in a
     /// large fleet old reports of many servers outweighed the fresh ones of a look.
-    fn keep_room(&mut self, now: Time) {
-        let turn = self.delay.unwrap_or(tightest_aim(&self.set).f());
-        let counts = self.counts_requests;
-        let fresh = |s: &Server| if counts { (-(now - s.seen).f() / turn).exp() } else { 1.0 };
+    fn keep_room(&mut self) {
+        let fresh = |s: &Server| self.fresh(s);
         let (mut sum, mut weight) = (0.0, 0.0);
         for s in self.ready.iter().map(|id| self.server(*id)) {
             sum += fresh(s) * self.load_of(s);
@@ -568,7 +571,7 @@
             }
         }
         // Where most others do not tell, what one tells helps nobody: it is said ten times as rarely.
-        let rarely = if self.sees_load() { 1.0 } else { 10.0 };
+        let rarely = if self.sees_load { 1.0 } else { 10.0 };
         let cost = rarely * data.len().max(PEER_BYTES.1) as f64 * f64::from(self.set.balancers - 1);
         self.peer_credit = self.peer_credit.min(4.0 * cost);
         if self.peer_credit >= cost {
@@ -577,19 +580,11 @@
         }
     }
 
-    /// Loads are known afresh: reports count requests, or most other instances tell theirs.
-    fn sees_load(&self) -> bool {
-        let told = || self.peers.iter().filter(|p| self.stepped - p.at <= HEARD_FOR).count();
-        self.counts_requests || (self.set.limits.peers && 2 * told() + 1 >= self.set.balancers as usize)
-    }
-
     fn on_peer(&mut self, now: Time, from: u32, data: &[u8]) {
         if from >= self.set.balancers || from == self.set.me {
             return;
         }
-        if self.peers.len() <= from as usize {
-            self.peers.resize(from as usize + 1, PeerView::default());
-        }
+        self.peers.resize(self.peers.len().max(from as usize + 1), PeerView::default());
         let entry = |told: &[u8]| {
             let name = u32::from_le_bytes([told[0], told[1], told[2], 0]);
             Some((*self.names.get(&name)?, u32::from(told[3])))
@@ -601,11 +596,15 @@
     /// Sums up what other instances told within the silence of a window.
     fn count_told(&mut self, now: Time) {
         self.servers.iter_mut().for_each(|s| s.peers_out = 0);
-        for view in self.peers.iter().filter(|view| now - view.at <= HEARD_FOR) {
+        let mut told = 0;
+        for view in self.peers.iter().filter(|view| now - view.at <= SECOND) {
+            told += 1;
             for (id, n) in &view.out {
                 self.servers[id.0 as usize].peers_out += n;
             }
         }
+        self.sees_load =
+            self.counts_requests || (self.set.limits.peers && 2 * told + 1 >= self.set.balancers);
     }
 
     fn probes_a_request(&self) -> f64 {
@@ -639,7 +638,7 @@
     fn looked(&mut self, now: Time, todo: &mut Vec<Action>) {
         self.looking = false;
         self.step(now, todo);
-        self.serve_held(now, true, todo);
+        self.serve_held(now, usize::MAX, todo);
     }
 
     /// Probes servers in turn, as many as it takes to find an idle one and as the budget of one request
@@ -750,17 +749,17 @@
     /// Whether a server may get a request now. All filters on the shares stand here.
     fn eligible(&mut self, now: Time, id: ServerId, wanted: Wanted) -> bool {
         let s = self.server(id);
-        let in_group = match wanted.group {
-            None | Some((Group::All, _)) => true,
-            Some((Group::Zone, zone)) => s.zone == zone,
-            Some((Group::Cell, cell)) => s.cell == cell,
+        let same = |(group, n)| match group {
+            Group::All => true,
+            Group::Zone => s.zone == n,
+            Group::Cell => s.cell == n,
         };
         // An idle server always has room: a turn mistaken for too long once had everything refused for good.
         let load = self.load_of(s);
-        let idle = if self.sees_load() { 1.0 } else { 0.5 };
+        let idle = if self.sees_load { 1.0 } else { 0.5 };
         let crowded = load >= idle && self.crowded(now, load, wanted);
         s.state == State::Ready
-            && in_group
+            && wanted.group.is_none_or(same)
             && wanted.not != Some(id)
             && s.shunned <= now
             && (s.strikes == 0 || s.out == 0)
@@ -943,29 +942,20 @@
     /// Whether a request counts as beyond its tenant's share: the part of a tenant's requests by which its
     /// part of our traffic exceeds its part of all quotas, where that is worth less.
     fn over_share(&mut self, tenant: u32) -> bool {
-        let quotas: f64 = self.set.tenants.iter().map(|t| t.quota_per_s).sum();
-        let Some(quota) = self.set.tenants.get(tenant as usize).map(|t| t.quota_per_s / quotas) else {
-            return false;
-        };
-        for (n, part) in self.tenants.iter_mut().enumerate() {
+        let Some(&(quota, _)) = self.tenants.get(tenant as usize) else { return false };
+        for (n, (_, part)) in self.tenants.iter_mut().enumerate() {
             *part = smooth(Some(*part), f64::from(n == tenant as usize), TENANT_SMOOTH);
         }
-        let allowed = quota / self.tenants[tenant as usize].max(quota);
+        let allowed = quota / self.tenants[tenant as usize].1.max(quota);
         self.set.over_share_worth < 1.0 && quota > 0.0 && self.rng.random::<f64>() > allowed
     }
 
-    /// Tries held requests again in their order: after an answer only while servers take them, once a window
-    /// all of them, so that none outstays its time behind another (one that did was lost).
-    fn serve_held(&mut self, now: Time, all: bool, todo: &mut Vec<Action>) {
-        for _ in 0..self.held.len() {
-            let before = self.held.len();
+    /// Tries held requests again in their order: after an answer one, once a window all of them, so that none
+    /// outstays its time behind another (one that did was lost).
+    fn serve_held(&mut self, now: Time, most: usize, todo: &mut Vec<Action>) {
+        for _ in 0..self.held.len().min(most) {
             let Some(id) = self.held.pop_front() else { return };
             self.advance(now, id, todo);
-            if self.held.len() == before && !all {
-                // It went to the back again: it keeps its turn.
-                self.held.rotate_right(1);
-                return;
-            }
         }
     }
 
@@ -992,14 +982,12 @@
         self.ready.clear();
         self.use_enough(Span(0));
         self.refresh_shares(now);
-        self.serve_held(now, true, todo);
+        self.serve_held(now, usize::MAX, todo);
     }
 
     fn list(&mut self, now: Time, entry: &Member) {
         let at = entry.server.0 as usize;
-        if self.servers.len() <= at {
-            self.servers.resize(at + 1, Server::default());
-        }
+        self.servers.resize(self.servers.len().max(at + 1), Server::default());
         let (credit, credit_mark) = (self.rng.random::<f64>(), self.sends);
         let known = &mut self.servers[at];
         if entry.born > known.born || known.heard.is_none() {
@@ -1041,7 +1029,7 @@
 }
 
 fn tightest_aim(set: &Settings) -> Span {
-    set.classes.iter().map(|c| c.aim).min().unwrap_or(WINDOW_MOST)
+    set.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND)
 }
 
 /// A running mean in which a new value has the given weight.
