--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,8 +56,7 @@
 const COLD_BURST: f64 = 1.5;
 /// A hint this many times the time left is hopeless; hints are rough, so some above it may still be served.
 const HOPELESS: f64 = 1.5;
-/// Weight of one request in a tenant's part of the traffic, and the part of the probed servers that must be
-/// busy before tenants' shares count.
+/// Weight of a request in a tenant's part of the traffic; part of the servers probed that is busy in a crowd.
 const TENANT_SMOOTH: f64 = 0.01;
 const CROWDED: f64 = 0.8;
 /// The least servers a balancer uses where connections have a price, and those for each attempt that it has
@@ -718,7 +717,9 @@
             left -= f64::from(self.server(**id).strikes == 0);
             left >= 0.0
         };
-        let enough = self.listed.iter().take_while(fine).count();
+        // Twice as many at the most: in overload all seem silent, and all would connect to all.
+        let most = 2 * self.width as usize;
+        let enough = self.listed.iter().take(most).take_while(fine).count();
         if enough != self.ready.len() {
             let (used, unused) = self.listed.split_at(enough);
             self.ready = used.to_vec();
