--- a/src/rules.rs
+++ b/src/rules.rs
@@ -61,7 +61,7 @@
 const CROWDED: f64 = 0.8;
 /// The least servers a balancer uses where connections have a price, and those for each attempt that it has
 /// out in good times, by a rate taken over some windows that fades slowly.
-const USED_LEAST: f64 = 3.0;
+const USED_LEAST: f64 = 2.0;
 const USED_EACH: f64 = 2.0;
 const USED_OVER: Span = Span(2_000_000);
 const USED_FADE: Span = Span(20_000_000);
@@ -718,7 +718,7 @@
             left >= 0.0
         };
         // Twice as many at the most: in overload all seem silent, and all would connect to all.
-        let most = 2 * self.width as usize;
+        let most = self.width as usize + 1;
         let enough = self.listed.iter().take(most).take_while(fine).count();
         if enough != self.ready.len() {
             let (used, unused) = self.listed.split_at(enough);
