--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,7 +37,7 @@
 /// Parts of the result that messages, probes and open connections may cost.
 const PEER_SPEND: f64 = 0.004;
 const PROBE_SPEND: f64 = 0.03;
-const CONNECTION_SPEND: f64 = 0.01;
+const CONNECTION_SPEND: f64 = 0.006;
 /// The chance that none of the servers probed by a look is idle.
 const FOUND: f64 = 0.1;
 /// What all servers without known room draw together, against the one with the most.
