--- a/src/rules.rs
+++ b/src/rules.rs
@@ -59,8 +59,8 @@
 /// Weight of a request in a tenant's part of the traffic; part of the servers probed that is busy in a crowd.
 const TENANT_SMOOTH: f64 = 0.01;
 const CROWDED: f64 = 0.8;
-/// The least servers a balancer uses where connections have a price, and those for each attempt that it has
-/// out in good times, by a rate taken over some windows that fades slowly.
+/// The least servers used where connections have a price, and those for each attempt out in good times, by a
+/// rate taken over some windows that fades slowly.
 const USED_LEAST: f64 = 2.0;
 const USED_EACH: f64 = 2.0;
 const USED_OVER: Span = Span(2_000_000);
@@ -696,8 +696,7 @@
     }
 
     /// Departure where open connections have a price: a balancer uses the servers that it allows if all do
-    /// alike, more the more it sends, and one more for each that is silent or out of reach. Hundreds that
-    /// each used every server filled the servers' connections.
+    /// alike, more the more it sends, and a spare. Hundreds of all servers filled the servers' connections.
     fn use_enough(&mut self, gap: Span) {
         let (rate, peak, counted) = self.rate;
         let part = 1.0 - (-gap.f() / USED_OVER.f()).exp();
@@ -717,9 +716,8 @@
             left -= f64::from(self.server(**id).strikes == 0);
             left >= 0.0
         };
-        // Twice as many at the most: in overload all seem silent, and all would connect to all.
-        let most = self.width as usize + 1;
-        let enough = self.listed.iter().take(most).take_while(fine).count();
+        // One spare at the most: in overload all seem silent, and all would connect to all (incident i04569a).
+        let enough = self.listed.iter().take(self.width as usize + 1).take_while(fine).count();
         if enough != self.ready.len() {
             let (used, unused) = self.listed.split_at(enough);
             self.ready = used.to_vec();
