--- a/src/rules.rs
+++ b/src/rules.rs
@@ -781,7 +781,9 @@
             return;
         }
         turn.seen = turn.seen.saturating_add(1);
-        let weight = SMOOTH_TURN.max(1.0 / f64::from(turn.seen));
+        // Quiet balancers forget by time: their turns of an overload once lasted for half a minute after it.
+        let forgotten = 1.0 - (-(now - turn.at).f() / SECOND.times(f64::from(TOLD)).f()).exp();
+        let weight = SMOOTH_TURN.max(1.0 / f64::from(turn.seen)).max(forgotten);
         turn.log += weight * ((latency.f().max(1.0) / (1.0 + sent.ahead)).ln() - turn.log);
         turn.at = now;
     }
