--- a/src/rules.rs
+++ b/src/rules.rs
@@ -75,7 +75,6 @@
 const HOLD: f64 = 0.03;
 /// Shortest and longest waits before a failed list call is made again.
 const CALL_AGAIN: (Span, Span) = (Span(200_000), Span(2_500_000));
-
 const STEP: Token = Token(1);
 const CALL: Token = Token(2);
 const HELD: Token = Token(3);
@@ -99,7 +98,6 @@
     reported: Option<f64>,
     seen: Time,
     sent_since: f64,
-    /// Smoothed reported utilisation.
     util: Option<f64>,
     /// Our own attempts out, and those that other instances told of.
     out: u32,
@@ -215,6 +213,7 @@
     /// Probes out that the window in hand waits for, and the requests that wait with it.
     probes_out: u32,
     looking: bool,
+    asked: u64,
     sends: u64,
     born: Option<Time>,
     probe_credit: f64,
@@ -272,6 +271,7 @@
             stepped: Time(0),
             probes_out: 0,
             looking: false,
+            asked: 0,
             sends: 0,
             born: None,
             probe_credit: 0.0,
@@ -309,8 +309,8 @@
         match event {
             Event::Members { kind, entries } => self.on_members(now, kind, entries, todo),
             Event::Request { id, left, class, hint, tenant, .. } => {
-                let over = self.over_share(tenant);
-                let deadline = now + left;
+                self.asked += 1;
+                let (over, deadline) = (self.over_share(tenant), now + left);
                 self.open.insert(id, Open { class, hint, over, arrived: now, deadline, ..Open::default() });
                 self.probe_credit += self.probes_a_request();
                 let price = self.set.prices.peer.max(PEER_SPEND / 4.0);
@@ -362,7 +362,6 @@
         }
     }
 
-    /// A listed server.
     fn server(&self, id: ServerId) -> &Server {
         &self.servers[id.0 as usize]
     }
@@ -501,9 +500,9 @@
         SECOND.max(self.own_gap().times(self.ready.len() as f64 * ASKED))
     }
 
-    /// The mean time between own sends.
+    /// The mean time between own requests; between sends it grew without end while all were refused.
     fn own_gap(&self) -> Span {
-        Span(self.born.map_or(0, |born| (self.stepped - born).0) / self.sends.max(1))
+        Span(self.born.map_or(0, |born| (self.stepped - born).0) / self.asked.max(1))
     }
 
     /// The figure of one server for the load (0) or delay (1) table, if it was heard from lately.
@@ -781,7 +780,7 @@
             return;
         }
         turn.seen = turn.seen.saturating_add(1);
-        // Quiet balancers forget by time: their turns of an overload once lasted for half a minute after it.
+        // Quiet balancers forget by time: turns of an overload once lasted for half a minute after it.
         let forgotten = 1.0 - (-(now - turn.at).f() / SECOND.times(f64::from(TOLD)).f()).exp();
         let weight = SMOOTH_TURN.max(1.0 / f64::from(turn.seen)).max(forgotten);
         turn.log += weight * ((latency.f().max(1.0) / (1.0 + sent.ahead)).ln() - turn.log);
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -322,3 +322,63 @@
     assert!(refused[0] > 0.2, "the greedy tenant is refused {:.2}", refused[0]);
     assert!(refused[1] < refused[0] / 2.0, "the modest one {:.2} against {:.2}", refused[1], refused[0]);
 }
+
+/// One long request had quiet balancers suspect every server they used.
+#[test]
+fn one_long_request_is_no_silence_yet() {
+    let mut set = settings();
+    set.classes.iter_mut().for_each(|c| c.late_worth = 0.2);
+    let mut world = World::new(set, &members(3));
+    for id in 0..60 {
+        world.ask(id, SAFE, Span(700 * MS));
+        world.pass(Span(50 * MS));
+        world.end(id, Status::Ok, &[]);
+    }
+    world.ask(100, UNSAFE, Span(700 * MS));
+    world.pass(Span(430 * MS));
+    let silent = world.said.iter().any(|a| matches!(a, Action::Log { .. }));
+    assert!(!silent, "a single attempt out for under nine mean delays");
+}
+
+/// Servers once seen idle seemed so for ever, and under load most draws fell on them (incident ie6339f).
+#[test]
+fn what_was_idle_long_ago_is_no_refuge_under_load() {
+    let mut set = counting();
+    set.limits.probes = true;
+    set.prices.probe = 0.002;
+    let mut world = World::new(set, &members(60));
+    let mut sent = 0;
+    for id in 0..260 {
+        let held = if id < 120 { 0.0 } else { 6.0 };
+        world.ask(id, SAFE, Span(700 * MS));
+        world.answer_probes(|_| held);
+        world.pass(Span(80 * MS));
+        sent += u32::from(id >= 200 && world.attempts_of(id) > 0);
+        world.end(id, Status::Ok, &[held, 0.0, 1.0]);
+        world.pass(Span(20 * MS));
+    }
+    assert!(sent < 20, "{sent} of 60 requests went to servers that only seemed idle");
+}
+
+/// A quiet balancer refused all for longer and longer after an overload: no sends, no answers, no end of it.
+#[test]
+fn a_quiet_balancer_forgets_the_turns_of_an_overload() {
+    let mut set = settings();
+    set.reports = Reports::InAnswers;
+    set.fields = vec![Field::Util];
+    let mut world = World::new(set, &members(3));
+    for id in 0..60 {
+        world.ask(id, SAFE, Span(700 * MS));
+        world.pass(Span(280 * MS));
+        world.end(id, Status::Ok, &[1.0]);
+    }
+    let mut sent = 0;
+    for id in 60..110 {
+        world.ask(id, SAFE, Span(700 * MS));
+        world.pass(Span(20 * MS));
+        sent += u32::from(id >= 90 && world.attempts_of(id) > 0);
+        world.end(id, Status::Ok, &[0.7]);
+        world.pass(Span(980 * MS));
+    }
+    assert!(sent >= 18, "{sent} of 20 requests were sent half a minute after");
+}
