--- a/crates/wirehost/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,4 +1,7 @@
-//! The settings object of `ENLIST`, read into the module's settings. Unknown keys are passed over.
+//! The settings object that an instance is told at its start, read into the module's settings and the names and
+//! limits that only a host needs. Unknown keys are passed over. Both hosts read it by this code.
+
+#![forbid(unsafe_code)]
 
 use anyhow::{Context, Result, bail};
 use dunlincleat::api::{
@@ -26,6 +29,8 @@
     #[serde(default)]
     limits: EnvLimits,
     #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
     deductions: EnvPrices,
     safety: EnvSafety,
     #[serde(default)]
@@ -36,6 +41,8 @@
 
 #[derive(Deserialize)]
 struct EnvClass {
+    #[serde(default)]
+    name: String,
     aim: u64,
     deadline: u64,
     #[serde(default)]
@@ -53,6 +60,8 @@
 
 #[derive(Deserialize)]
 struct EnvTenant {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     share: f64,
     #[serde(default)]
@@ -78,6 +87,8 @@
     cancel: bool,
     peers: bool,
     connect_timeout: u64,
+    conn_idle: Option<u64>,
+    max_open: Option<u64>,
 }
 
 #[derive(Deserialize, Default)]
@@ -98,15 +109,60 @@
     cold_from: Option<f64>,
     #[serde(default)]
     cold: u64,
+    #[serde(default)]
+    drain_grace: Option<u64>,
+}
+
+/// What an instance is told: the module's settings, and what only its host needs.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// What the module decides by.
+    pub settings: Settings,
+    /// The names of the classes, by number.
+    pub classes: Vec<String>,
+    /// The names of the tenants, by number.
+    pub tenants: Vec<String>,
+    /// The names of the zones, by number.
+    pub zones: Vec<String>,
+    /// The names of the figures in a load report, in order.
+    pub fields: Vec<String>,
+    /// How long a server keeps an idle connection at the most, where that is told.
+    pub conn_idle: Option<Span>,
+    /// Requests that an instance may hold open.
+    pub max_open: Option<u64>,
+    /// How long sends to a server may go on after the news that it leaves, where that is told.
+    pub drain_grace: Option<Span>,
 }
 
 fn one() -> u32 {
     1
 }
 
-/// Reads the settings of one instance.
-pub fn read(text: &str) -> Result<Settings> {
-    let env: Env = serde_json::from_str(text).context("settings")?;
+/// Reads the settings of one instance from text.
+pub fn read(text: &str) -> Result<Site> {
+    site(serde_json::from_str(text).context("settings")?)
+}
+
+/// Reads the settings of one instance from a part of a larger object.
+pub fn read_value(value: serde_json::Value) -> Result<Site> {
+    site(serde_json::from_value(value).context("settings")?)
+}
+
+fn site(env: Env) -> Result<Site> {
+    let names = |names: &[EnvClass]| names.iter().map(|c| c.name.clone()).collect();
+    Ok(Site {
+        classes: names(&env.classes),
+        tenants: env.tenants.iter().map(|t| t.name.clone()).collect(),
+        zones: env.zones.clone(),
+        fields: env.stats.fields.clone(),
+        conn_idle: env.limits.conn_idle.map(Span),
+        max_open: env.limits.max_open,
+        drain_grace: env.safety.drain_grace.map(Span),
+        settings: settings(&env)?,
+    })
+}
+
+fn settings(env: &Env) -> Result<Settings> {
     Ok(Settings {
         balancers: env.balancers,
         me: env.me,
--- /dev/null
+++ b/crates/sidecar/src/config.rs
@@ -0,0 +1,194 @@
+//! What the sidecar is told at its start: read, checked and given its defaults here and nowhere else.
+//!
+//! `EDGE_CONFIG` names a JSON file. `EDGE_NAME`, `EDGE_LISTEN` and `EDGE_DISCOVERY` go before its keys of the
+//! same meaning. Unknown keys are passed over; each message names the key at fault.
+
+use crate::message::{Entry, Listing};
+use anyhow::{Context, Result, anyhow, bail};
+use dunlincleat::api::Span;
+use dunlincleat_settings::Site;
+use serde::Deserialize;
+use serde_json::{Map, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Descriptors kept for what is no traffic: standard streams, the poller, signals, listener, discovery, spares.
+const DESCRIPTORS_KEPT: usize = 40;
+
+/// All that the sidecar is told.
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers; new with each start.
+    pub seed: u64,
+    /// The list of servers as last held.
+    pub known: Listing,
+    /// The settings object.
+    pub site: Site,
+    /// Its own figures.
+    pub own: Own,
+}
+
+/// The figures that the deployment does not tell, from the object `sidecar`, each with a default.
+pub struct Own {
+    /// The least level of log lines.
+    pub log: log::LevelFilter,
+    /// The largest body of a request or an answer, in bytes.
+    pub body_bytes: usize,
+    /// Connections that clients may hold.
+    pub client_connections: usize,
+    /// Connections to servers, all together.
+    pub server_connections: usize,
+    /// Requests in hand at a time.
+    pub requests: usize,
+    /// How long an idle connection to a server is kept.
+    pub idle: Duration,
+    /// How long a connection to a server may take.
+    pub connect: Duration,
+    /// How long a probe may take.
+    pub probe: Duration,
+    /// How long connections are still accepted after SIGTERM.
+    pub accept_after_term: Duration,
+    /// How long after SIGTERM the process ends at the latest.
+    pub end_after_term: Duration,
+    /// The first and the longest wait before discovery is called again.
+    pub watch_again: (Duration, Duration),
+    /// A watch from which not even an empty line comes for this long is made anew.
+    pub watch_silence: Duration,
+}
+
+impl Config {
+    /// Reads the environment and the file that it names.
+    pub fn read() -> Result<Config> {
+        let path = env("EDGE_CONFIG")?.context("EDGE_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).with_context(|| format!("EDGE_CONFIG: '{path}'"))?;
+        Config::parse(&text, env)
+    }
+
+    fn parse(text: &str, env: impl Fn(&'static str) -> Result<Option<String>>) -> Result<Config> {
+        let value: Value = serde_json::from_str(text).context("EDGE_CONFIG: not JSON")?;
+        let Value::Object(mut file) = value else { bail!("EDGE_CONFIG: not a JSON object") };
+        let mut text_of = |variable, key: &str| -> Result<(String, String)> {
+            if let Some(value) = env(variable)? {
+                return Ok((value, variable.to_owned()));
+            }
+            match file.remove(key) {
+                Some(Value::String(value)) => Ok((value, format!("EDGE_CONFIG: {key}"))),
+                Some(_) => bail!("EDGE_CONFIG: {key}: not a string"),
+                None => bail!("neither {variable} nor the key {key} of EDGE_CONFIG is set"),
+            }
+        };
+        let address = |(value, key): (String, String)| -> Result<SocketAddr> {
+            value.parse().map_err(|_| anyhow!("{key}: '{value}' is not an address and port"))
+        };
+        let name = text_of("EDGE_NAME", "name")?.0;
+        let listen = address(text_of("EDGE_LISTEN", "listen")?)?;
+        let discovery = address(text_of("EDGE_DISCOVERY", "discovery")?)?;
+        let seed = match file.remove("seed") {
+            Some(Value::String(hex)) => u64::from_str_radix(&hex, 16)
+                .map_err(|_| anyhow!("EDGE_CONFIG: seed: '{hex}' is not a number of up to 16 hex digits"))?,
+            Some(other) => other.as_u64().context("EDGE_CONFIG: seed: neither hex digits nor a number")?,
+            None => bail!("EDGE_CONFIG: seed is missing"),
+        };
+        let settings = file.remove("settings").context("EDGE_CONFIG: settings is missing")?;
+        let site = dunlincleat_settings::read_value(settings).context("EDGE_CONFIG")?;
+        let known = match file.remove("known") {
+            None | Some(Value::Null) => Listing { rev: 0, whole: true, entries: Vec::<Entry>::new() },
+            Some(known) => Listing::from_value(known).context("EDGE_CONFIG: known")?,
+        };
+        let limits = match file.remove("limits") {
+            None | Some(Value::Null) => Limits::default(),
+            Some(limits) => serde_json::from_value(limits).context("EDGE_CONFIG: limits")?,
+        };
+        let own = match file.remove("sidecar") {
+            None | Some(Value::Null) => Map::new(),
+            Some(Value::Object(own)) => own,
+            Some(_) => bail!("EDGE_CONFIG: sidecar: not an object"),
+        };
+        let own = Own::read(&own, &limits, &site)?;
+        Ok(Config { name, listen, discovery, seed, known, site, own })
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { sockets: 1024 }
+    }
+}
+
+impl Own {
+    fn read(own: &Map<String, Value>, limits: &Limits, site: &Site) -> Result<Own> {
+        let number = |key: &str, default: u64, least: u64| -> Result<u64> {
+            let value = match own.get(key) {
+                None => default,
+                Some(v) => v.as_u64().with_context(|| format!("EDGE_CONFIG: sidecar.{key}: not a number"))?,
+            };
+            if value < least {
+                bail!("EDGE_CONFIG: sidecar.{key}: {value} is under {least}");
+            }
+            Ok(value)
+        };
+        let millis = |key: &str, default: u64, least| number(key, default, least).map(Duration::from_millis);
+        let log = match own.get("log") {
+            None => log::LevelFilter::Info,
+            Some(level) => level.as_str().and_then(|l| l.parse().ok()).with_context(|| {
+                format!("EDGE_CONFIG: sidecar.log: {level} is none of off, error, warn, info, debug, trace")
+            })?,
+        };
+        // Half of the descriptors for each side.
+        let half = (limits.sockets.saturating_sub(DESCRIPTORS_KEPT) / 2) as u64;
+        if half == 0 {
+            bail!("EDGE_CONFIG: limits.sockets: {} is under {}", limits.sockets, DESCRIPTORS_KEPT + 2);
+        }
+        let client_connections = number("client_connections", half, 1)? as usize;
+        let server_connections = number("server_connections", half, 1)? as usize;
+        if client_connections + server_connections + DESCRIPTORS_KEPT > limits.sockets {
+            bail!(
+                "EDGE_CONFIG: sidecar.client_connections and sidecar.server_connections: {client_connections} and \
+                 {server_connections} leave no {DESCRIPTORS_KEPT} of {} descriptors",
+                limits.sockets
+            );
+        }
+        let ms = |span: Span| span.0 / 1000;
+        let classes = &site.settings.classes;
+        let longest = classes.iter().map(|c| ms(c.deadline)).max().unwrap_or(0);
+        let connect = ms(site.settings.limits.connect_timeout);
+        let aim = classes.iter().map(|c| ms(c.aim)).min().unwrap_or(1000);
+        let connect = if connect > 0 { connect } else { 1000 };
+        Ok(Own {
+            log,
+            body_bytes: number("body_bytes", 64 * 1024, 1)? as usize,
+            requests: number("requests", site.max_open.unwrap_or(u64::MAX).min(half), 1)? as usize,
+            client_connections,
+            server_connections,
+            // The server closes one that is as old as the site's figure at the latest: half of it is well before.
+            idle: millis("idle_ms", site.conn_idle.map_or(2500, |s| ms(s) / 2), 1)?,
+            connect: millis("connect_ms", connect, 1)?,
+            // A probe that takes a quarter of the tightest aim tells nothing that is of use any more.
+            probe: millis("probe_ms", connect.min(aim / 4).max(1), 1)?,
+            accept_after_term: millis("accept_after_term_ms", 600, 0)?,
+            end_after_term: millis("end_after_term_ms", longest + 600, 1)?,
+            watch_again: (millis("watch_again_ms", 50, 1)?, millis("watch_again_most_ms", 2000, 1)?),
+            watch_silence: millis("watch_silence_ms", 7000, 1)?,
+        })
+    }
+}
+
+fn env(name: &'static str) -> Result<Option<String>> {
+    match std::env::var(name) {
+        Ok(value) if value.is_empty() => bail!("{name} is empty"),
+        Ok(value) => Ok(Some(value)),
+        Err(std::env::VarError::NotPresent) => Ok(None),
+        Err(std::env::VarError::NotUnicode(_)) => bail!("{name} is not UTF-8"),
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/message.rs
@@ -0,0 +1,350 @@
+//! The protocol's messages: headers and bodies are decoded once into small typed values, and encoded once.
+
+use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead, Response, StatusCode};
+use anyhow::{Context, Result, bail};
+use awc::http::Uri;
+use bytes::Bytes;
+use dunlincleat::api::{Effect, Span, State, Status};
+use dunlincleat_settings::Site;
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Where clients ask whether the sidecar serves, and sidecars whether a server does.
+pub const HEALTH: &str = "/healthz";
+/// A probe that brings the load report.
+pub const LOAD: &str = "/load";
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+const TENANT: HeaderName = HeaderName::from_static("x-tenant-id");
+const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout");
+const RETRIED: HeaderName = HeaderName::from_static("x-retried");
+const COST: HeaderName = HeaderName::from_static("x-cost");
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const SERVER_LOAD: HeaderName = HeaderName::from_static("x-server-load");
+const NOT_PROCESSED: HeaderName = HeaderName::from_static("x-not-processed");
+
+/// A client's request.
+pub struct Request {
+    /// The client's name for it.
+    pub id: HeaderValue,
+    method: Method,
+    /// Path and query as they came.
+    target: String,
+    key: Option<HeaderValue>,
+    content_type: Option<HeaderValue>,
+    body: Bytes,
+    /// The number of its class.
+    pub class: u32,
+    /// The number of its tenant; that after the last where none was named that is known.
+    pub tenant: u32,
+    /// How long the client waits, from when it sent it.
+    pub wait: Span,
+    /// A guess at the work.
+    pub hint: Option<Span>,
+    /// The client marked it as a repeat.
+    pub repeat: bool,
+}
+
+/// Why a request was not taken.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed {
+    /// The status of the answer.
+    pub status: StatusCode,
+    /// What was wrong, for the body of the answer.
+    pub what: &'static str,
+}
+
+impl Request {
+    /// Reads a request's head; the body is added by `with_body`.
+    pub fn decode(head: &RequestHead, site: &Site) -> Result<Request, Malformed> {
+        let bad = |what| Malformed { status: StatusCode::BAD_REQUEST, what };
+        let path = head.uri.path();
+        let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+        let class = site.classes.iter().position(|c| c == name && !name.is_empty());
+        let class = class.ok_or(Malformed { status: StatusCode::NOT_FOUND, what: "no such class" })?;
+        let settings = &site.settings.classes[class];
+        let key = head.headers.get(&KEY).cloned();
+        let method = match settings.effect {
+            Effect::Safe => Method::GET,
+            Effect::Keyed { .. } | Effect::Unsafe => Method::POST,
+        };
+        if head.method != method {
+            let status = StatusCode::METHOD_NOT_ALLOWED;
+            return Err(Malformed { status, what: "the class is not asked for by this method" });
+        }
+        if matches!(settings.effect, Effect::Keyed { .. }) && key.is_none() {
+            return Err(bad("Idempotency-Key is missing"));
+        }
+        let id = head.headers.get(&REQUEST_ID).filter(|id| !id.is_empty()).cloned();
+        let id = id.ok_or_else(|| bad("X-Request-ID is missing"))?;
+        let wait = match text(&head.headers, &TIMEOUT) {
+            None => settings.deadline,
+            Some(wait) => seconds(wait).ok_or_else(|| bad("X-Timeout is no number of seconds"))?,
+        };
+        let tenant = text(&head.headers, &TENANT);
+        let tenant = site.tenants.iter().position(|t| Some(t.as_str()) == tenant);
+        // A hint is advice: one that can't be read is none.
+        let hint = text(&head.headers, &COST).and_then(|c| c.parse::<f64>().ok());
+        Ok(Request {
+            id,
+            method,
+            target: head.uri.path_and_query().map_or(path, |t| t.as_str()).to_owned(),
+            key,
+            content_type: head.headers.get(header::CONTENT_TYPE).cloned(),
+            body: Bytes::new(),
+            class: class as u32,
+            tenant: tenant.unwrap_or(site.tenants.len()) as u32,
+            wait,
+            hint: hint.filter(|c| c.is_finite() && *c >= 0.0).map(|c| Span(c as u64)),
+            repeat: text(&head.headers, &RETRIED) == Some("1"),
+        })
+    }
+
+    /// The same with its body.
+    pub fn with_body(mut self, body: Bytes) -> Request {
+        self.body = body;
+        self
+    }
+
+    /// Encodes it for a server; `left` is how long the sidecar will wait.
+    pub fn encode(&self, client: &awc::Client, server: SocketAddr, left: Duration) -> awc::SendClientRequest {
+        let uri = format!("http://{server}{}", self.target);
+        let request = client
+            .request(self.method.clone(), uri)
+            .insert_header((REQUEST_ID, self.id.clone()))
+            .insert_header((TIMEOUT, format!("{:.6}", left.as_secs_f64())));
+        let request = match &self.key {
+            Some(key) => request.insert_header((KEY, key.clone())),
+            None => request,
+        };
+        let request = match &self.content_type {
+            Some(kind) => request.insert_header((header::CONTENT_TYPE, kind.clone())),
+            None => request,
+        };
+        if self.method == Method::GET && self.body.is_empty() {
+            request.send()
+        } else {
+            request.send_body(self.body.clone())
+        }
+    }
+}
+
+/// The final answer to a client.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The body of a server's answer.
+    Served {
+        /// As the server sent it.
+        body: Bytes,
+        /// What it says the body is.
+        content_type: Option<HeaderValue>,
+    },
+    /// Trying again does no harm.
+    Refused {
+        /// How long to stay away.
+        retry_after: Option<Span>,
+    },
+    /// Nothing promised.
+    Failed,
+}
+
+impl Answer {
+    /// Encodes the answer.
+    pub fn encode(self) -> Response<Bytes> {
+        match self {
+            Answer::Served { body, content_type } => {
+                let mut response = Response::with_body(StatusCode::OK, body);
+                if let Some(kind) = content_type {
+                    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+                }
+                response
+            }
+            Answer::Refused { retry_after } => {
+                let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+                let after = retry_after.map(|s| format!("{:.3}", s.f() / 1e6));
+                if let Some(after) = after.and_then(|a| HeaderValue::try_from(a).ok()) {
+                    response.headers_mut().insert(header::RETRY_AFTER, after);
+                }
+                response
+            }
+            Answer::Failed => Response::with_body(StatusCode::BAD_GATEWAY, Bytes::new()),
+        }
+    }
+}
+
+impl Malformed {
+    /// Encodes the answer.
+    pub fn encode(self) -> Response<Bytes> {
+        Response::with_body(self.status, Bytes::from_static(self.what.as_bytes()))
+    }
+}
+
+/// A server's answer to a request or a probe, without its body.
+pub struct Reply {
+    /// What it means.
+    pub status: Status,
+    /// The load report, in the order of the settings' fields; empty where none came.
+    pub load: Vec<f64>,
+    /// What it says its body is.
+    pub content_type: Option<HeaderValue>,
+}
+
+impl Reply {
+    /// Reads the head of an answer.
+    pub fn decode(status: StatusCode, headers: &HeaderMap, fields: &[String]) -> Reply {
+        let unseen = text(headers, &NOT_PROCESSED) == Some("1");
+        let status = match status {
+            StatusCode::OK => Status::Ok,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => Status::Full,
+            // Whatever is no word of the protocol's may have run.
+            _ => Status::Error,
+        };
+        let load = text(headers, &SERVER_LOAD).map(|l| load(l.as_bytes(), fields)).unwrap_or_default();
+        Reply { status, load, content_type: headers.get(header::CONTENT_TYPE).cloned() }
+    }
+
+    /// Reads the head and the body of a probe's answer: 503 is a probe's word for a server that is busy.
+    pub fn decode_probe(status: StatusCode, headers: &HeaderMap, body: &[u8], fields: &[String]) -> Reply {
+        let mut reply = Reply::decode(status, headers, fields);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            reply.status = Status::Full;
+        }
+        if reply.load.is_empty() {
+            reply.load = load(body, fields);
+        }
+        reply
+    }
+}
+
+/// Reads a load report; a figure that lacks becomes no number, and a report without any of them is none.
+fn load(json: &[u8], fields: &[String]) -> Vec<f64> {
+    let Ok(Value::Object(report)) = serde_json::from_slice(json) else { return Vec::new() };
+    let figure = |name: &String| report.get(name).and_then(Value::as_f64).unwrap_or(f64::NAN);
+    let load: Vec<f64> = fields.iter().map(figure).collect();
+    if load.iter().all(|v| v.is_nan()) { Vec::new() } else { load }
+}
+
+/// A list of servers, or changes to one.
+pub struct Listing {
+    /// Its version.
+    pub rev: u64,
+    /// It is the whole list.
+    pub whole: bool,
+    /// Its entries, in order.
+    pub entries: Vec<Entry>,
+}
+
+/// A server of a list.
+pub struct Entry {
+    /// Its name, the same at every sidecar.
+    pub uid: String,
+    /// Where it is reached; entries of servers that are gone may do without.
+    pub endpoint: Option<SocketAddr>,
+    /// The name of its zone.
+    pub zone: String,
+    /// Its cell.
+    pub cell: u32,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Its size against that of others.
+    pub weight: f64,
+    /// When it last started, in milliseconds of Unix time; 0 for long ago.
+    pub boot_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct RawListing {
+    #[serde(default)]
+    rev: u64,
+    #[serde(default)]
+    all: bool,
+    targets: Vec<RawEntry>,
+}
+
+#[derive(Deserialize)]
+struct RawEntry {
+    uid: String,
+    #[serde(default)]
+    endpoint: String,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    pod_group: u32,
+    state: String,
+    #[serde(default)]
+    capacity_hint: Option<f64>,
+    #[serde(default)]
+    boot_ms: f64,
+}
+
+impl Listing {
+    /// Reads a line of a watch.
+    pub fn decode(line: &[u8]) -> Result<Listing> {
+        Listing::from_raw(serde_json::from_slice(line)?)
+    }
+
+    /// Reads a list that is part of a larger object.
+    pub fn from_value(value: Value) -> Result<Listing> {
+        Listing::from_raw(serde_json::from_value(value)?)
+    }
+
+    fn from_raw(raw: RawListing) -> Result<Listing> {
+        let entries = raw.targets.into_iter().map(Entry::from_raw).collect::<Result<_>>()?;
+        Ok(Listing { rev: raw.rev, whole: raw.all, entries })
+    }
+}
+
+impl Entry {
+    fn from_raw(raw: RawEntry) -> Result<Entry> {
+        let state = match raw.state.as_str() {
+            "up" => State::Ready,
+            "draining" => State::Draining,
+            "removed" => State::Gone,
+            other => bail!("server {}: unknown state '{other}'", raw.uid),
+        };
+        let endpoint = match raw.endpoint.parse() {
+            Ok(address) => Some(address),
+            Err(_) if state == State::Gone => None,
+            Err(error) => {
+                return Err(error)
+                    .with_context(|| format!("server {}: endpoint '{}'", raw.uid, raw.endpoint));
+            }
+        };
+        Ok(Entry {
+            uid: raw.uid,
+            endpoint,
+            zone: raw.az,
+            cell: raw.pod_group,
+            state,
+            weight: raw.capacity_hint.unwrap_or(1.0),
+            boot_ms: raw.boot_ms.max(0.0) as u64,
+        })
+    }
+}
+
+/// The address of a watch for what changed after a version.
+pub fn watch_uri(discovery: SocketAddr, after: u64) -> String {
+    format!("http://{discovery}/v1/servers?watch=1&after={after}")
+}
+
+/// The address of a probe.
+pub fn probe_uri(server: SocketAddr, with_load: bool) -> String {
+    format!("http://{server}{}", if with_load { LOAD } else { HEALTH })
+}
+
+/// The address and port of a URI that this program made.
+pub fn authority(uri: &Uri) -> Option<SocketAddr> {
+    uri.authority()?.as_str().parse().ok()
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim)
+}
+
+fn seconds(text: &str) -> Option<Span> {
+    let seconds: f64 = text.parse().ok()?;
+    (seconds.is_finite() && seconds >= 0.0).then_some(Span((seconds * 1e6).min(1e15) as u64))
+}
--- /dev/null
+++ b/crates/sidecar/src/peer.rs
@@ -0,0 +1,451 @@
+//! One actor for each server: it owns the connections to it and carries out attempts and probes.
+//!
+//! A connection is an awc client of its own whose pool holds that one connection: so it is known here which
+//! are idle, since when, and that an attempt given up takes its connection with it. A connection that awc's
+//! own pool kept would stand idle until the next request, however old.
+
+use crate::config::Own;
+use crate::message::{Reply, Request, authority, probe_uri};
+use crate::module;
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_service::Service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use awc::http::Uri;
+use bytes::{Bytes, BytesMut};
+use dunlincleat::api::{Attempt, RequestId, ServerId, State, Status};
+use futures_util::StreamExt;
+use futures_util::future::{AbortHandle, Abortable, Aborted, LocalBoxFuture};
+use futures_util::stream::FuturesUnordered;
+use rustc_hash::FxHashMap;
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// What a server's actor is told.
+pub enum Msg {
+    /// Start an attempt.
+    Attempt {
+        /// Of which request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: Attempt,
+        /// The request itself.
+        request: Rc<Request>,
+        /// When to stop waiting.
+        until: Instant,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// Of which request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: Attempt,
+    },
+    /// Ask the server how it is.
+    Probe,
+    /// What the list says of it.
+    Listed {
+        /// Where it is reached.
+        endpoint: SocketAddr,
+        /// Whether it takes new work.
+        state: State,
+    },
+}
+
+/// How an attempt or a probe ended.
+pub struct Ended {
+    /// How.
+    pub status: Status,
+    /// Time since it was taken up.
+    pub latency: Duration,
+    /// The load report.
+    pub load: Vec<f64>,
+    /// The answer's body and type, where it was served.
+    pub body: Option<(Bytes, Option<actix_http::header::HeaderValue>)>,
+}
+
+impl Ended {
+    /// One that brought no answer.
+    pub fn unsent(status: Status) -> Ended {
+        Ended { status, latency: Duration::ZERO, load: Vec::new(), body: None }
+    }
+}
+
+/// What all peers are given.
+#[derive(Clone)]
+pub struct Common {
+    /// The sidecar's own figures.
+    pub own: Rc<Own>,
+    /// The names of the figures in a load report.
+    pub fields: Rc<[String]>,
+    /// Servers answer `/load` with a report.
+    pub load_probes: bool,
+    /// How long sends may go on after the news that a server leaves.
+    pub grace: Duration,
+    /// Connections to servers that may still be opened.
+    pub sockets: Arc<Semaphore>,
+    /// The module's mailbox.
+    pub module: module::Handle,
+}
+
+/// Starts the actor of a server.
+pub fn start(server: ServerId, endpoint: SocketAddr, common: Common) -> mpsc::UnboundedSender<Msg> {
+    let (handle, mailbox) = mpsc::unbounded_channel();
+    let gate = Rc::new(Gate::default());
+    let peer = Peer {
+        server,
+        endpoint,
+        common,
+        gate,
+        idle: Vec::new(),
+        out: FuturesUnordered::new(),
+        aborts: FxHashMap::default(),
+    };
+    actix_rt::spawn(peer.run(mailbox));
+    handle
+}
+
+type Job = LocalBoxFuture<'static, Done>;
+
+struct Done {
+    what: What,
+    ended: Ended,
+    line: Option<Line>,
+}
+
+#[derive(Clone, Copy)]
+enum What {
+    Attempt(RequestId, Attempt),
+    Probe,
+}
+
+struct Peer {
+    server: ServerId,
+    endpoint: SocketAddr,
+    common: Common,
+    gate: Rc<Gate>,
+    /// Idle connections, the last used at the end.
+    idle: Vec<Line>,
+    out: FuturesUnordered<Job>,
+    aborts: FxHashMap<(RequestId, Attempt), AbortHandle>,
+}
+
+impl Peer {
+    async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<Msg>) {
+        loop {
+            let oldest = self.idle.first().map(|line| line.since + self.common.own.idle);
+            tokio::select! {
+                biased;
+                msg = mailbox.recv() => match msg {
+                    Some(msg) => self.take(msg),
+                    None => return,
+                },
+                Some(done) = self.out.next(), if !self.out.is_empty() => self.done(done),
+                () = sleep_until(oldest.unwrap_or_else(Instant::now)), if oldest.is_some() => {
+                    let (now, idle) = (Instant::now(), self.common.own.idle);
+                    self.idle.retain(|line| line.since + idle > now);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, msg: Msg) {
+        match msg {
+            Msg::Attempt { id, attempt, request, until } => {
+                let line = self.line();
+                let (endpoint, common) = (self.endpoint, self.common.clone());
+                let (abort, registration) = AbortHandle::new_pair();
+                self.aborts.insert((id, attempt), abort);
+                let started = Instant::now();
+                self.out.push(Box::pin(async move {
+                    let wire = line.wire.clone();
+                    let sending = send(line, endpoint, &request, until, &common);
+                    let (mut ended, line) = match Abortable::new(sending, registration).await {
+                        Ok(end) => end,
+                        Err(Aborted) => (Ended::unsent(wire.unless_sent(Status::Cancelled)), None),
+                    };
+                    ended.latency = started.elapsed();
+                    Done { what: What::Attempt(id, attempt), ended, line }
+                }));
+            }
+            Msg::Cancel { id, attempt } => {
+                if let Some(abort) = self.aborts.get(&(id, attempt)) {
+                    abort.abort();
+                }
+            }
+            Msg::Probe => {
+                let line = self.line();
+                let (endpoint, common) = (self.endpoint, self.common.clone());
+                let started = Instant::now();
+                self.out.push(Box::pin(async move {
+                    let (mut ended, line) = probe(line, endpoint, &common).await;
+                    ended.latency = started.elapsed();
+                    Done { what: What::Probe, ended, line }
+                }));
+            }
+            Msg::Listed { endpoint, state } => {
+                if endpoint != self.endpoint || state == State::Gone {
+                    self.idle.clear();
+                }
+                self.endpoint = endpoint;
+                let closes = match (state, self.gate.closes.get()) {
+                    (State::Ready, _) => None,
+                    (State::Draining | State::Gone, None) => Some(Instant::now() + self.common.grace),
+                    (State::Draining | State::Gone, closes) => closes,
+                };
+                self.gate.closes.set(closes);
+            }
+        }
+    }
+
+    fn done(&mut self, done: Done) {
+        if let Some(mut line) = done.line.filter(|line| line.wire.open.get()) {
+            line.since = Instant::now();
+            self.idle.push(line);
+        }
+        match done.what {
+            What::Attempt(id, attempt) => {
+                self.aborts.remove(&(id, attempt));
+                self.common.module.ended(id, attempt, self.server, done.ended);
+            }
+            What::Probe => self.common.module.probed(self.server, done.ended),
+        }
+    }
+
+    /// The idle connection used last, or a new one, which is opened when it is first sent on.
+    fn line(&mut self) -> Line {
+        while let Some(line) = self.idle.pop() {
+            if line.wire.open.get() {
+                return line;
+            }
+        }
+        Line::new(self.common.own.connect, self.common.sockets.clone(), self.gate.clone())
+    }
+}
+
+/// Sends a request and waits for the answer. The line comes back where it can be used again.
+async fn send(
+    line: Line,
+    endpoint: SocketAddr,
+    request: &Request,
+    until: Instant,
+    common: &Common,
+) -> (Ended, Option<Line>) {
+    line.wire.sent.set(0);
+    let left = until.saturating_duration_since(Instant::now());
+    let most = common.own.body_bytes;
+    let exchange = async {
+        let mut response = request.encode(&line.client, endpoint, left).await.map_err(failure)?;
+        let reply = Reply::decode(response.status(), response.headers(), &common.fields);
+        let body = read_body(&mut response, most).await?;
+        Ok::<_, Status>((reply, body))
+    };
+    match timeout_at(until, exchange).await {
+        Ok(Ok((reply, body))) => {
+            let body = (reply.status == Status::Ok).then_some((body, reply.content_type));
+            let latency = Duration::ZERO;
+            (Ended { status: reply.status, latency, load: reply.load, body }, Some(line))
+        }
+        Ok(Err(status)) => (Ended::unsent(status), None),
+        Err(_) => (Ended::unsent(line.wire.unless_sent(Status::Timeout)), None),
+    }
+}
+
+async fn probe(line: Line, endpoint: SocketAddr, common: &Common) -> (Ended, Option<Line>) {
+    let exchange = async {
+        let request = line.client.get(probe_uri(endpoint, common.load_probes));
+        let mut response = request.send().await.map_err(failure)?;
+        let body = read_body(&mut response, common.own.body_bytes).await?;
+        Ok::<_, Status>(Reply::decode_probe(response.status(), response.headers(), &body, &common.fields))
+    };
+    match timeout_at(Instant::now() + common.own.probe, exchange).await {
+        Ok(Ok(reply)) => {
+            let Reply { status, load, .. } = reply;
+            (Ended { status, latency: Duration::ZERO, load, body: None }, Some(line))
+        }
+        Ok(Err(status)) => (Ended::unsent(status), None),
+        Err(_) => (Ended::unsent(Status::Timeout), None),
+    }
+}
+
+/// Reads a whole body of at most so many bytes. One that breaks off is a reset, one that is too long an error.
+async fn read_body(response: &mut awc::ClientResponse, most: usize) -> Result<Bytes, Status> {
+    let mut whole = BytesMut::new();
+    while let Some(part) = response.next().await {
+        let part = part.map_err(|_| Status::Reset)?;
+        if whole.len() + part.len() > most {
+            return Err(Status::Error);
+        }
+        if whole.is_empty() {
+            whole = BytesMut::from(part);
+        } else {
+            whole.extend_from_slice(&part);
+        }
+    }
+    Ok(whole.freeze())
+}
+
+/// What an error of awc's says about whether the request has run. In doubt it may have.
+fn failure(error: awc::error::SendRequestError) -> Status {
+    use awc::error::{ConnectError, SendRequestError};
+    match error {
+        // awc says this of a connection that ended before the answer, after the request was written.
+        SendRequestError::Connect(ConnectError::Disconnected) => Status::Reset,
+        SendRequestError::Connect(_) | SendRequestError::Url(_) | SendRequestError::Http(_) => {
+            Status::ConnectFailed
+        }
+        // A write failed: the kernel did not take the last byte.
+        SendRequestError::Send(_) => Status::ConnectFailed,
+        _ => Status::Reset,
+    }
+}
+
+/// When sends to a server must have ended, as it leaves.
+#[derive(Default)]
+struct Gate {
+    closes: Cell<Option<Instant>>,
+}
+
+/// What is seen of a connection from outside awc.
+#[derive(Default)]
+struct Wire {
+    open: Cell<bool>,
+    /// Bytes of the present request that the kernel took.
+    sent: Cell<usize>,
+}
+
+impl Wire {
+    /// This status where anything was sent, else the one that says that nothing can have run.
+    fn unless_sent(&self, status: Status) -> Status {
+        if self.sent.get() == 0 { Status::ConnectFailed } else { status }
+    }
+}
+
+/// A connection to the server, or one to be opened.
+struct Line {
+    client: awc::Client,
+    wire: Rc<Wire>,
+    since: Instant,
+}
+
+impl Line {
+    fn new(connect: Duration, sockets: Arc<Semaphore>, gate: Rc<Gate>) -> Line {
+        let wire = Rc::new(Wire::default());
+        let dial = Dial { sockets, gate, wire: wire.clone() };
+        // Lifetimes and limits are kept here, so awc's own must never act.
+        let never = Duration::from_secs(1 << 30);
+        let connector = awc::Connector::new()
+            .connector(dial)
+            .timeout(connect)
+            .conn_keep_alive(never)
+            .conn_lifetime(never)
+            .limit(0);
+        let client = awc::Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        Line { client, wire, since: Instant::now() }
+    }
+}
+
+/// Opens connections within the bound on descriptors.
+#[derive(Clone)]
+struct Dial {
+    sockets: Arc<Semaphore>,
+    gate: Rc<Gate>,
+    wire: Rc<Wire>,
+}
+
+impl Service<ConnectInfo<Uri>> for Dial {
+    type Response = Connection<Uri, ServerIo>;
+    type Error = ConnectError;
+    type Future = LocalBoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    actix_service::always_ready!();
+
+    fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
+        let dial = self.clone();
+        Box::pin(async move {
+            let uri = info.request().clone();
+            let endpoint = authority(&uri).ok_or(ConnectError::Unresolved)?;
+            let permit = dial.sockets.try_acquire_owned().map_err(|_| {
+                log::warn!("no connection to {endpoint}: the bound on server connections is reached");
+                ConnectError::Io(io::Error::other("the bound on server connections is reached"))
+            })?;
+            let stream = TcpStream::connect(endpoint).await.map_err(ConnectError::Io)?;
+            stream.set_nodelay(true).map_err(ConnectError::Io)?;
+            dial.wire.open.set(true);
+            let io = ServerIo { stream, gate: dial.gate, wire: dial.wire, _permit: permit };
+            Ok(Connection::new(uri, io))
+        })
+    }
+}
+
+/// A connection to a server. Dropping it closes the socket and gives its descriptor back.
+struct ServerIo {
+    stream: TcpStream,
+    gate: Rc<Gate>,
+    wire: Rc<Wire>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Drop for ServerIo {
+    fn drop(&mut self) {
+        self.wire.open.set(false);
+    }
+}
+
+impl std::fmt::Debug for ServerIo {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.stream.fmt(f)
+    }
+}
+
+impl AsyncRead for ServerIo {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for ServerIo {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        // Guards the drain: an attempt that waited for its connection must not begin after the grace.
+        if this.wire.sent.get() == 0 && this.gate.closes.get().is_some_and(|at| Instant::now() >= at) {
+            return Poll::Ready(Err(io::Error::other("the server leaves and its grace is over")));
+        }
+        let result = Pin::new(&mut this.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(n)) = result {
+            this.wire.sent.set(this.wire.sent.get() + n);
+        }
+        result
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for ServerIo {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, cx)
+    }
+}
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -3,7 +3,6 @@
 
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
 use anyhow::{Context, Result, bail};
@@ -133,7 +132,7 @@
             "ENLIST" => {
                 let i = parts.value("the instance")?;
                 let seed = parts.value("entropy")?;
-                let settings = settings::read(parts.remainder("env")?)?;
+                let settings = dunlincleat_settings::read(parts.remainder("env")?)?.settings;
                 let classes = settings.classes.len() as u32;
                 let balancer = Balancer::new(settings, seed);
                 let instance =
--- a/src/api.rs
+++ b/src/api.rs
@@ -46,7 +46,7 @@
 pub struct RequestId(pub u64);
 
 /// The number of an attempt within its request, from 0.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Attempt(pub u32);
 
 /// What an instance set a timer for; given back when it is due.
