--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -241,3 +241,8 @@
         _ => Field::Other,
     }
 }
+
+/// A number for a server that comes out the same at every instance, from its name (FNV-1a).
+pub fn common_name(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -118,11 +118,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: u64,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
     }
 }
 
@@ -165,10 +166,14 @@
         let connect = ms(site.settings.limits.connect_timeout);
         let aim = classes.iter().map(|c| ms(c.aim)).min().unwrap_or(1000);
         let connect = if connect > 0 { connect } else { 1000 };
+        let body_bytes = number("body_bytes", 64 * 1024, 1)?;
+        // Half of the memory for bodies: a request's and its answer's, each once more in a buffer on its way.
+        let bodies = ((limits.memory_mb << 20) / 2 / (4 * body_bytes)).max(1);
+        let requests = site.max_open.unwrap_or(u64::MAX).min(half).min(bodies);
         Ok(Own {
             log,
-            body_bytes: number("body_bytes", 64 * 1024, 1)? as usize,
-            requests: number("requests", site.max_open.unwrap_or(u64::MAX).min(half), 1)? as usize,
+            body_bytes: body_bytes as usize,
+            requests: number("requests", requests, 1)? as usize,
             client_connections,
             server_connections,
             // The server closes one that is as old as the site's figure at the latest: half of it is well before.
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -2,16 +2,15 @@
 //! one answer.
 
 use crate::config::Own;
-use crate::message::{Answer, HEALTH, Malformed, Request};
+use crate::message::{Answer, HEALTH, Malformed, Request, read_body};
 use crate::module;
 use actix_http::{HttpService, KeepAlive, Method, Response, StatusCode};
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory, fn_service};
 use anyhow::{Context as _, Result, anyhow};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dunlincleat::api::RequestId;
 use dunlincleat_settings::Site;
-use futures_util::StreamExt;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
@@ -164,7 +163,7 @@
 impl Front {
     async fn take(&self, request: &mut actix_http::Request, received: Instant) -> Result<Answer, Malformed> {
         let decoded = Request::decode(request.head(), &self.site)?;
-        let body = read_body(request, self.own.body_bytes).await?;
+        let body = read_body(&mut request.take_payload(), self.own.body_bytes).await?;
         let Ok(permit) = self.requests.clone().try_acquire_owned() else {
             log::warn!("request refused: the bound on requests in hand is reached");
             return Ok(Answer::Refused { retry_after: None });
@@ -182,24 +181,6 @@
     }
 }
 
-async fn read_body(request: &mut actix_http::Request, most: usize) -> Result<Bytes, Malformed> {
-    let mut payload = request.take_payload();
-    let mut whole = BytesMut::new();
-    while let Some(part) = payload.next().await {
-        let broken = Malformed { status: StatusCode::BAD_REQUEST, what: "the body broke off" };
-        let part = part.map_err(|_| broken)?;
-        if whole.len() + part.len() > most {
-            return Err(Malformed { status: StatusCode::PAYLOAD_TOO_LARGE, what: "the body is too long" });
-        }
-        if whole.is_empty() {
-            whole = BytesMut::from(part);
-        } else {
-            whole.extend_from_slice(&part);
-        }
-    }
-    Ok(whole.freeze())
-}
-
 /// A request in the module's hands. Dropped unanswered, as when its client closes, it tells the module so.
 struct Taken {
     id: RequestId,
--- a/crates/sidecar/src/list.rs
+++ b/crates/sidecar/src/list.rs
@@ -3,6 +3,7 @@
 use crate::config::Own;
 use crate::message::{Listing, watch_uri};
 use crate::module;
+use anyhow::Result;
 use dunlincleat::api::Discovery;
 use futures_util::StreamExt;
 use rand::rngs::SmallRng;
@@ -59,66 +60,51 @@
                 }
                 while mailbox.try_recv().is_ok() {}
             }
-            let heard = self.watch(&client).await;
-            failures = if heard { 0 } else { failures.saturating_add(1) };
+            let (heard, why) = self.watch(&client).await;
+            failures = if heard { 1 } else { failures.saturating_add(1) };
+            // One warning an outage: the next line of its kind says that a watch is open again.
+            let level = if failures == 1 { log::Level::Warn } else { log::Level::Debug };
+            log::log!(level, "no watch of discovery: {why}");
             match self.mode {
                 Discovery::OnRequest => self.module.list_failed(),
                 Discovery::Pushed => {
                     let (first, most) = self.own.watch_again;
-                    let wait = first.saturating_mul(1 << failures.min(16)).min(most);
+                    let wait = first.saturating_mul(1 << (failures - 1).min(16)).min(most);
                     sleep(wait.mul_f64(rng.random_range(0.5..1.0))).await;
                 }
             }
         }
     }
 
-    /// Follows one watch to its end; true where it brought anything.
-    async fn watch(&mut self, client: &awc::Client) -> bool {
-        let mut heard = false;
+    /// Follows one watch to its end; tells whether it brought anything, and why it ended.
+    async fn watch(&mut self, client: &awc::Client) -> (bool, String) {
         let call = client.get(watch_uri(self.discovery, self.rev)).send();
         let mut answer = match timeout(self.own.watch_silence, call).await {
             Ok(Ok(answer)) if answer.status().is_success() => answer,
-            Ok(Ok(answer)) => {
-                log::warn!("watch of discovery refused: {}", answer.status());
-                return false;
-            }
-            Ok(Err(error)) => {
-                log::warn!("watch of discovery not opened: {error}");
-                return false;
-            }
-            Err(_) => {
-                log::warn!("watch of discovery not opened: no answer");
-                return false;
-            }
+            Ok(Ok(answer)) => return (false, format!("refused with {}", answer.status())),
+            Ok(Err(error)) => return (false, error.to_string()),
+            Err(_) => return (false, "no answer".to_owned()),
         };
         log::info!("watch of discovery open after revision {}", self.rev);
+        let mut heard = false;
         let mut line = Vec::new();
         loop {
             let part = match timeout(self.own.watch_silence, answer.next()).await {
                 Ok(Some(Ok(part))) => part,
-                Ok(Some(Err(error))) => {
-                    log::warn!("watch of discovery broke: {error}");
-                    return heard;
-                }
-                Ok(None) => {
-                    log::warn!("watch of discovery ended");
-                    return heard;
-                }
-                Err(_) => {
-                    log::warn!("watch of discovery silent for {:?}, called again", self.own.watch_silence);
-                    return heard;
-                }
+                Ok(Some(Err(error))) => return (heard, format!("it broke: {error}")),
+                Ok(None) => return (heard, "it ended".to_owned()),
+                Err(_) => return (heard, format!("silent for {:?}", self.own.watch_silence)),
             };
             heard = true;
             for piece in part.split_inclusive(|b| *b == b'\n') {
                 line.extend_from_slice(piece);
                 if line.len() > LINE_BYTES {
-                    log::error!("a line of the watch is over {LINE_BYTES} bytes");
-                    return false;
+                    return (false, format!("a line over {LINE_BYTES} bytes"));
                 }
                 if line.ends_with(b"\n") {
-                    if !line.trim_ascii().is_empty() && !self.take(&line) {
-                        return false;
+                    // The next watch starts after the last version understood, so nothing is missed.
+                    if let Err(error) = self.take(&line) {
+                        return (false, format!("it sent what is no list: {error:#}"));
                     }
                     line.clear();
                 }
@@ -126,18 +112,12 @@
         }
     }
 
-    fn take(&mut self, line: &[u8]) -> bool {
-        match Listing::decode(line) {
-            Ok(listing) => {
-                self.rev = listing.rev;
-                self.module.listed(listing);
-                true
-            }
-            Err(error) => {
-                // The watch is made anew from the last version understood, so nothing is missed.
-                log::error!("discovery sent what is no list: {error:#}");
-                false
-            }
+    fn take(&mut self, line: &[u8]) -> Result<()> {
+        if !line.trim_ascii().is_empty() {
+            let listing = Listing::decode(line)?;
+            self.rev = listing.rev;
+            self.module.listed(listing);
         }
+        Ok(())
     }
 }
--- a/crates/sidecar/src/logger.rs
+++ b/crates/sidecar/src/logger.rs
@@ -28,7 +28,10 @@
             return;
         }
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let part = record.target().rsplit("::").next().unwrap_or_default();
+        let part = match record.target() {
+            env!("CARGO_CRATE_NAME") => "main",
+            target => target.rsplit("::").next().unwrap_or(target),
+        };
         // A log that cannot be written must not end the service.
         let _ = writeln!(
             std::io::stderr().lock(),
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -12,7 +12,7 @@
 mod module;
 mod peer;
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, anyhow};
 use config::Config;
 use dunlincleat::api::{Reports, Span};
 use front::Stage;
@@ -58,11 +58,13 @@
         module: handle.clone(),
     };
     let module = module::Module::new(site.clone(), config.seed, peers, list.start());
-    actix_rt::spawn(module.run(mailbox, config.known));
+    let mut module = actix_rt::spawn(module.run(mailbox, config.known));
     let (stage, stages) = watch::channel(Stage::Serving);
     let mut front = actix_rt::spawn(front::serve(config.listen, site, own.clone(), handle, stages));
     tokio::select! {
         end = &mut front => return end.context("the server ended")?,
+        // Without its decisions it cannot serve: ended here, it is started again.
+        end = &mut module => return end.context("the module ended").and(Err(anyhow!("the module ended"))),
         _ = terminate.recv() => {}
     }
     let told = Instant::now();
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -2,11 +2,12 @@
 
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, Response, StatusCode};
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result};
 use awc::http::Uri;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dunlincleat::api::{Effect, Span, State, Status};
 use dunlincleat_settings::Site;
+use futures_util::{Stream, StreamExt};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -175,6 +176,15 @@
     }
 }
 
+impl From<Cut> for Malformed {
+    fn from(cut: Cut) -> Malformed {
+        match cut {
+            Cut::Broken => Malformed { status: StatusCode::BAD_REQUEST, what: "the body broke off" },
+            Cut::TooLong => Malformed { status: StatusCode::PAYLOAD_TOO_LARGE, what: "the body is too long" },
+        }
+    }
+}
+
 impl Malformed {
     /// Encodes the answer.
     pub fn encode(self) -> Response<Bytes> {
@@ -227,6 +237,35 @@
     if load.iter().all(|v| v.is_nan()) { Vec::new() } else { load }
 }
 
+/// Why a body did not come whole.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Its connection broke off.
+    Broken,
+    /// It is longer than the bound.
+    TooLong,
+}
+
+/// Reads a whole body of at most so many bytes.
+pub async fn read_body<E>(
+    parts: &mut (impl Stream<Item = Result<Bytes, E>> + Unpin),
+    most: usize,
+) -> Result<Bytes, Cut> {
+    let mut whole = BytesMut::new();
+    while let Some(part) = parts.next().await {
+        let part = part.map_err(|_| Cut::Broken)?;
+        if whole.len() + part.len() > most {
+            return Err(Cut::TooLong);
+        }
+        if whole.is_empty() {
+            whole = BytesMut::from(part);
+        } else {
+            whole.extend_from_slice(&part);
+        }
+    }
+    Ok(whole.freeze())
+}
+
 /// A list of servers, or changes to one.
 pub struct Listing {
     /// Its version.
@@ -281,17 +320,18 @@
 }
 
 impl Listing {
-    /// Reads a line of a watch.
+    /// Reads a line of a watch. An entry that can't be read is passed over, so that it keeps no other back.
     pub fn decode(line: &[u8]) -> Result<Listing> {
-        Listing::from_raw(serde_json::from_slice(line)?)
+        let raw: RawListing = serde_json::from_slice(line)?;
+        let readable =
+            |raw| Entry::from_raw(raw).inspect_err(|e| log::warn!("entry passed over: {e:#}")).ok();
+        let entries = raw.targets.into_iter().filter_map(readable).collect();
+        Ok(Listing { rev: raw.rev, whole: raw.all, entries })
     }
 
-    /// Reads a list that is part of a larger object.
+    /// Reads the list in the configuration, where each fault is one to be told.
     pub fn from_value(value: Value) -> Result<Listing> {
-        Listing::from_raw(serde_json::from_value(value)?)
-    }
-
-    fn from_raw(raw: RawListing) -> Result<Listing> {
+        let raw: RawListing = serde_json::from_value(value)?;
         let entries = raw.targets.into_iter().map(Entry::from_raw).collect::<Result<_>>()?;
         Ok(Listing { rev: raw.rev, whole: raw.all, entries })
     }
@@ -303,7 +343,11 @@
             "up" => State::Ready,
             "draining" => State::Draining,
             "removed" => State::Gone,
-            other => bail!("server {}: unknown state '{other}'", raw.uid),
+            other => {
+                // Nothing new is sent to a server of which it is not known that it wants any.
+                log::warn!("server {}: unknown state '{other}', taken as draining", raw.uid);
+                State::Draining
+            }
         };
         let endpoint = match raw.endpoint.parse() {
             Ok(address) => Some(address),
--- a/crates/sidecar/src/module.rs
+++ b/crates/sidecar/src/module.rs
@@ -8,7 +8,7 @@
 use dunlincleat::api::{
     Action, Attempt, Event, ListKind, Member, RequestId, ServerId, Span, State, Status, Time, Token,
 };
-use dunlincleat_settings::Site;
+use dunlincleat_settings::{Site, common_name};
 use rustc_hash::FxHashMap;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -17,8 +17,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
-/// A wait in the mailbox from which it is told in the log.
-const LATE: Duration = Duration::from_millis(20);
+/// How often the log sums up.
+const SUM_UP: Duration = Duration::from_secs(10);
 
 /// What the actor is told.
 enum Msg {
@@ -113,6 +113,19 @@
     out: usize,
 }
 
+/// What happened since the log was last told.
+#[derive(Default)]
+struct Tally {
+    taken: u64,
+    served: u64,
+    refused: u64,
+    failed: u64,
+    gone: u64,
+    attempts: u64,
+    /// The longest wait in the mailbox.
+    waited: Duration,
+}
+
 struct Known {
     uid: String,
     mailbox: Option<mpsc::UnboundedSender<peer::Msg>>,
@@ -131,6 +144,7 @@
     servers: Vec<Known>,
     by_uid: FxHashMap<String, ServerId>,
     actions: Vec<Action>,
+    tally: Tally,
 }
 
 impl Module {
@@ -153,6 +167,7 @@
             servers: Vec::new(),
             by_uid: FxHashMap::default(),
             actions: Vec::new(),
+            tally: Tally::default(),
         }
     }
 
@@ -160,6 +175,7 @@
     pub async fn run(mut self, mut mailbox: Mailbox, known: Listing) {
         // With this event the module makes its first call of discovery, so the way there must stand.
         self.listed(ListKind::Cached, &known);
+        let mut sum_up = Instant::now() + SUM_UP;
         loop {
             let due = self.timers.peek().map(|Reverse((at, _, _))| *at);
             tokio::select! {
@@ -167,18 +183,34 @@
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => self.fire(),
                 msg = mailbox.0.recv() => match msg {
                     Some((told, msg)) => {
-                        let waited = told.elapsed();
-                        if waited >= LATE {
-                            log::warn!("a message waited {} ms in the module's mailbox", waited.as_millis());
-                        }
+                        self.tally.waited = self.tally.waited.max(told.elapsed());
                         self.take(msg);
                     }
                     None => return,
                 },
+                () = sleep_until(sum_up) => {
+                    self.sum_up();
+                    sum_up = Instant::now() + SUM_UP;
+                }
             }
         }
     }
 
+    fn sum_up(&mut self) {
+        let Tally { taken, served, refused, failed, gone, attempts, waited } =
+            std::mem::take(&mut self.tally);
+        if taken + attempts > 0 {
+            log::info!(
+                "in {} s: {taken} taken, {served} served, {refused} refused, {failed} failed, {gone} gone; \
+                 {attempts} attempts; {} in hand; {} connections to servers free; mailbox wait at most {} us",
+                SUM_UP.as_secs(),
+                self.requests.len(),
+                self.peers.sockets.available_permits(),
+                waited.as_micros()
+            );
+        }
+    }
+
     fn fire(&mut self) {
         let now = Instant::now();
         while let Some(Reverse((at, _, token))) = self.timers.peek().copied() {
@@ -193,6 +225,7 @@
     fn take(&mut self, msg: Msg) {
         match msg {
             Msg::Request { id, request, received, slot } => {
+                self.tally.taken += 1;
                 let waited = Span(received.elapsed().as_micros() as u64);
                 let event = Event::Request {
                     id,
@@ -208,6 +241,7 @@
             Msg::Gone { id } => {
                 let owed = self.requests.get_mut(&id).and_then(|entry| entry.slot.take()).is_some();
                 if owed {
+                    self.tally.gone += 1;
                     self.event(Event::Gone { id });
                 }
                 self.forget(id);
@@ -233,6 +267,7 @@
             match (status, body) {
                 (Status::Ok, Some((body, content_type))) => {
                     if let Some(slot) = entry.slot.take() {
+                        self.tally.served += 1;
                         // Where the client has just gone, its word of that finds the request ended.
                         let _ = slot.send(Answer::Served { body, content_type });
                     }
@@ -351,6 +386,7 @@
         let attempt = Attempt(entry.attempts.len() as u32);
         entry.attempts.push(server);
         entry.out += 1;
+        self.tally.attempts += 1;
         let request = entry.request.clone();
         log::debug!("attempt {} of request {} goes out", attempt.0, id.0);
         let over = entry.slot.is_none() || attempt.0 >= self.site.settings.limits.max_attempts;
@@ -372,13 +408,13 @@
     /// Gives a request its final answer.
     fn settle(&mut self, id: RequestId, answer: Answer) {
         if let Some(slot) = self.requests.get_mut(&id).and_then(|entry| entry.slot.take()) {
+            match answer {
+                Answer::Served { .. } => self.tally.served += 1,
+                Answer::Refused { .. } => self.tally.refused += 1,
+                Answer::Failed => self.tally.failed += 1,
+            }
             let _ = slot.send(answer);
         }
         self.forget(id);
     }
 }
-
-/// A number for a server that comes out the same at every sidecar (FNV-1a).
-fn common_name(uid: &str) -> u64 {
-    uid.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -5,14 +5,15 @@
 //! own pool kept would stand idle until the next request, however old.
 
 use crate::config::Own;
-use crate::message::{Reply, Request, authority, probe_uri};
+use crate::message::{Cut, Reply, Request, authority, probe_uri, read_body};
 use crate::module;
 use actix_http::header;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::Service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use awc::error::SendRequestError;
 use awc::http::Uri;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dunlincleat::api::{Attempt, RequestId, ServerId, State, Status};
 use futures_util::StreamExt;
 use futures_util::future::{AbortHandle, Abortable, Aborted, LocalBoxFuture};
@@ -122,6 +123,11 @@
     handle
 }
 
+/// Errors of the system that say that this machine has no more to give.
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+const EADDRNOTAVAIL: i32 = 99;
+
 type Job = LocalBoxFuture<'static, Done>;
 
 struct Done {
@@ -257,7 +263,7 @@
     let exchange = async {
         let response = request.encode(&line.client, endpoint, left).await.map_err(failure)?;
         let reply = Reply::decode(response.status(), response.headers(), &common.fields);
-        let body = read_body(response, most, &line.wire).await?;
+        let body = whole_body(response, most, &line.wire).await?;
         Ok::<_, Status>((reply, body))
     };
     match timeout_at(until, exchange).await {
@@ -272,11 +278,12 @@
 }
 
 async fn probe(line: Line, endpoint: SocketAddr, common: &Common) -> (Ended, Option<Line>) {
+    line.wire.sent.set(0);
     let exchange = async {
         let request = line.client.get(probe_uri(endpoint, common.load_probes));
         let response = request.send().await.map_err(failure)?;
         let (status, headers) = (response.status(), response.headers().clone());
-        let body = read_body(response, common.own.body_bytes, &line.wire).await?;
+        let body = whole_body(response, common.own.body_bytes, &line.wire).await?;
         Ok::<_, Status>(Reply::decode_probe(status, &headers, &body, &common.fields))
     };
     match timeout_at(Instant::now() + common.own.probe, exchange).await {
@@ -289,36 +296,46 @@
     }
 }
 
-/// Reads a whole body of at most so many bytes. One that breaks off is a reset, one that is too long an error.
-async fn read_body(mut response: awc::ClientResponse, most: usize, wire: &Wire) -> Result<Bytes, Status> {
+/// Reads the body of an answer. One that breaks off is a reset, one that is too long an error.
+async fn whole_body(mut response: awc::ClientResponse, most: usize, wire: &Wire) -> Result<Bytes, Status> {
     let length = response.headers().get(header::CONTENT_LENGTH);
     let length = length.and_then(|l| l.to_str().ok()).and_then(|l| l.parse::<usize>().ok());
-    let mut whole = BytesMut::new();
-    while let Some(part) = response.next().await {
-        let part = part.map_err(|_| Status::Reset)?;
-        if whole.len() + part.len() > most {
-            return Err(Status::Error);
-        }
-        if whole.is_empty() {
-            whole = BytesMut::from(part);
-        } else {
-            whole.extend_from_slice(&part);
-        }
-    }
+    let body = read_body(&mut response, most).await.map_err(|cut| match cut {
+        Cut::Broken => Status::Reset,
+        Cut::TooLong => Status::Error,
+    })?;
     // Guards against half an answer served as a whole one: awc ends a body whose connection broke off without
     // an error. Without a length, a body that came whole leaves its connection open, and a broken one took
     // the connection with it.
     drop(response);
-    let complete = length.map_or(wire.open.get(), |length| length == whole.len());
-    if complete { Ok(whole.freeze()) } else { Err(Status::Reset) }
+    let complete = length.map_or(wire.open.get(), |length| length == body.len());
+    if complete { Ok(body) } else { Err(Status::Reset) }
+}
+
+/// Why nothing was sent, for a reason that lies here and not with the server.
+#[derive(Debug)]
+struct Unsent(&'static str);
+
+impl std::fmt::Display for Unsent {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.0)
+    }
 }
 
+impl std::error::Error for Unsent {}
+
 /// What an error of awc's says about whether the request has run. In doubt it may have.
-fn failure(error: awc::error::SendRequestError) -> Status {
-    use awc::error::{ConnectError, SendRequestError};
+fn failure(error: SendRequestError) -> Status {
+    let here = |error: &io::Error| {
+        let bound = matches!(error.raw_os_error(), Some(EMFILE | ENFILE | EADDRNOTAVAIL));
+        bound || error.get_ref().is_some_and(|e| e.is::<Unsent>())
+    };
     match error {
         // awc says this of a connection that ended before the answer, after the request was written.
-        SendRequestError::Connect(ConnectError::Disconnected) => Status::Reset,
+        SendRequestError::Connect(awc::error::ConnectError::Disconnected) => Status::Reset,
+        // Guards the module's figures: a bound reached here once counted as a server out of reach.
+        SendRequestError::Connect(awc::error::ConnectError::Io(error)) if here(&error) => Status::Moot,
+        SendRequestError::Send(error) if here(&error) => Status::Moot,
         SendRequestError::Connect(_) | SendRequestError::Url(_) | SendRequestError::Http(_) => {
             Status::ConnectFailed
         }
@@ -400,7 +417,7 @@
             let endpoint = authority(&uri).ok_or(ConnectError::Unresolved)?;
             let permit = dial.sockets.try_acquire_owned().map_err(|_| {
                 log::warn!("no connection to {endpoint}: the bound on server connections is reached");
-                ConnectError::Io(io::Error::other("the bound on server connections is reached"))
+                ConnectError::Io(io::Error::other(Unsent("the bound on server connections is reached")))
             })?;
             let stream = TcpStream::connect(endpoint).await.map_err(ConnectError::Io)?;
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
@@ -442,7 +459,7 @@
         let this = self.get_mut();
         // Guards the drain: an attempt that waited for its connection must not begin after the grace.
         if this.wire.sent.get() == 0 && this.gate.closes.get().is_some_and(|at| Instant::now() >= at) {
-            return Poll::Ready(Err(io::Error::other("the server leaves and its grace is over")));
+            return Poll::Ready(Err(io::Error::other(Unsent("the server leaves and its grace is over"))));
         }
         let result = Pin::new(&mut this.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(n)) = result {
@@ -469,3 +486,38 @@
         ActixStream::poll_write_ready(&self.stream, cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn io(error: io::Error) -> SendRequestError {
+        SendRequestError::Send(error)
+    }
+
+    #[test]
+    fn a_write_that_failed_was_not_whole_and_never_ran() {
+        assert_eq!(failure(io(io::ErrorKind::ConnectionReset.into())), Status::ConnectFailed);
+        assert_eq!(failure(io(io::ErrorKind::BrokenPipe.into())), Status::ConnectFailed);
+    }
+
+    #[test]
+    fn what_was_not_sent_for_reasons_of_our_own_is_no_fault_of_the_servers() {
+        assert_eq!(failure(io(io::Error::other(Unsent("x")))), Status::Moot);
+        for code in [EMFILE, ENFILE, EADDRNOTAVAIL] {
+            let error = awc::error::ConnectError::Io(io::Error::from_raw_os_error(code));
+            assert_eq!(failure(SendRequestError::Connect(error)), Status::Moot);
+        }
+        let refused = awc::error::ConnectError::Io(io::ErrorKind::ConnectionRefused.into());
+        assert_eq!(failure(SendRequestError::Connect(refused)), Status::ConnectFailed);
+    }
+
+    #[test]
+    fn in_doubt_it_may_have_run() {
+        let ended = SendRequestError::Connect(awc::error::ConnectError::Disconnected);
+        assert_eq!(failure(ended), Status::Reset);
+        let garbled = SendRequestError::Response(actix_http::error::ParseError::Header);
+        assert_eq!(failure(garbled), Status::Reset);
+        assert_eq!(failure(SendRequestError::Timeout), Status::Reset);
+    }
+}
--- a/crates/sidecar/tests/lists.rs
+++ b/crates/sidecar/tests/lists.rs
@@ -152,6 +152,23 @@
     assert_eq!(sidecar.ask(&read("r1")).text(), "x");
 }
 
+#[test]
+fn an_entry_that_cannot_be_read_keeps_no_other_back() {
+    let (old, new) = (Server::start(|_, _| ok("old")), Server::start(|_, _| ok("new")));
+    let discovery = Discovery::start();
+    let sidecar = Setup::new(vec![entry("s1", old.address, "up")]).discovery(&discovery).start();
+    discovery.calls.wait(1, "watches");
+    let mut lost = entry("s9", new.address, "up");
+    lost["endpoint"] = json!("nowhere");
+    let odd = entry("s1", old.address, "resting");
+    discovery.send(8, false, vec![lost, odd, entry("s2", new.address, "up")]);
+    read_revision(&sidecar, 8);
+    // Nothing more goes to a server in a state that is not known.
+    for n in 0..20 {
+        assert_eq!(sidecar.ask(&read(&format!("r{n}"))).text(), "new");
+    }
+}
+
 #[test]
 fn lines_may_come_in_pieces() {
     let server = Server::start(|_, _| ok("x"));
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -266,16 +266,11 @@
             "DELETED" => State::Gone,
             other => bail!("unknown mode '{}'", shortened(other)),
         },
-        common: common_name(&endpoint),
+        common: dunlincleat_settings::common_name(&endpoint),
     };
     Ok(Entry { endpoint, member })
 }
 
-/// A number for an endpoint that comes out the same at every instance (FNV-1a).
-fn common_name(endpoint: &str) -> u64 {
-    endpoint.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 fn write_action(out: &mut Vec<u8>, i: u64, instance: &Instance, action: &Action) -> Result<()> {
     let name = |server: &ServerId| -> Result<&str> {
         instance.names.get(server.0 as usize).map(|n| &**n).context("the module named an unknown server")
