Give each test addresses of its own: two tests once met on one port

Seen: two of 47 tests failed once under load. Cause: a port that was free a moment ago (tests/common) was taken by another test's stand-in before the program listened on it; and a stand-in closed a connection that the test went on using.

--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -197,3 +197,39 @@
         Err(std::env::VarError::NotUnicode(_)) => bail!("{name} is not UTF-8"),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn own(limits: &str, sidecar: &str) -> Result<Own> {
+        let text = format!(
+            r#"{{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"a","limits":{limits},
+                "sidecar":{sidecar},"settings":{{"safety":{{}},
+                "classes":[{{"name":"a","aim":300000,"deadline":740000,"semantics":"retryable"}},
+                           {{"name":"b","aim":400000,"deadline":2000000,"semantics":"retryable"}}],
+                "limits":{{"conn_idle":5000000,"connect_timeout":200000,"max_open":40000}}}}}}"#
+        );
+        Ok(Config::parse(&text, |_| Ok(None))?.own)
+    }
+
+    #[test]
+    fn what_is_not_told_follows_from_the_settings() -> Result<()> {
+        let own = own("{}", "{}")?;
+        let ms = Duration::from_millis;
+        assert_eq!((own.idle, own.connect, own.probe), (ms(2500), ms(200), ms(75)));
+        assert_eq!((own.accept_after_term, own.end_after_term), (ms(600), ms(2600)));
+        assert_eq!((own.client_connections, own.server_connections), (492, 492));
+        Ok(())
+    }
+
+    #[test]
+    fn requests_in_hand_fit_the_memory() -> Result<()> {
+        // 492 requests, as many as connections, could hold more in bodies than the memory there is.
+        assert_eq!(own(r#"{"memory_mb":192}"#, "{}")?.requests, 384);
+        assert_eq!(own(r#"{"memory_mb":16}"#, "{}")?.requests, 32);
+        assert_eq!(own(r#"{"memory_mb":2048}"#, "{}")?.requests, 492);
+        assert_eq!(own(r#"{"memory_mb":192}"#, r#"{"requests":7}"#)?.requests, 7);
+        Ok(())
+    }
+}
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -117,12 +118,19 @@
     Hang,
     /// Ends the connection without an answer.
     Break,
-    /// Writes these bytes and ends the connection.
-    Raw(String),
+    /// Writes these bytes and keeps the connection, or ends it.
+    Raw(String, Then),
     /// Answers once the test lets it.
     Wait(Arc<Mutex<Receiver<()>>>, String),
 }
 
+/// What becomes of the connection.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Then {
+    Keep,
+    End,
+}
+
 pub fn ok(body: &str) -> Act {
     Act::Reply(200, vec![], body.to_owned())
 }
@@ -228,10 +236,12 @@
             let _ = stream.shutdown(std::net::Shutdown::Both);
             false
         }
-        Act::Raw(bytes) => {
+        Act::Raw(bytes, then) => {
             let _ = stream.write_all(bytes.as_bytes());
-            let _ = stream.shutdown(std::net::Shutdown::Both);
-            false
+            if then == Then::End {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+            then == Then::Keep
         }
         Act::Wait(latch, body) => {
             let _ = latch.lock().unwrap().recv_timeout(PATIENCE);
@@ -240,9 +250,12 @@
     }
 }
 
-/// An address at which nobody listens.
-pub fn closed_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// An address of loopback that no other test of this run has, so that no port is taken in between: one that
+/// was free a moment ago once belonged to another test's stand-in by the time it was used.
+pub fn own_address() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 128 | high, low, NEXT.fetch_add(1, Ordering::SeqCst)], 5000))
 }
 
 /// Discovery: takes watches and sends the lines that a test gives it.
@@ -323,8 +336,8 @@
 impl Setup {
     /// With these servers known and no discovery listening.
     pub fn new(known: Vec<Value>) -> Setup {
-        let listen = closed_port();
-        let discovery = closed_port();
+        let listen = own_address();
+        let discovery = own_address();
         let config = json!({
             "name": "n0", "listen": listen.to_string(), "discovery": discovery.to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
--- a/crates/sidecar/tests/outcomes.rs
+++ b/crates/sidecar/tests/outcomes.rs
@@ -80,17 +80,18 @@
 #[test]
 fn a_connection_that_ends_within_the_answer_may_have_run() {
     // awc ends such a body as if it were whole: it was once served so.
-    let half = Act::Raw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf".into());
+    let half = Act::Raw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf".into(), Then::End);
     expect(&half, (200, 2), (502, 1), (200, 2));
 }
 
 #[test]
 fn a_chunked_answer_is_served_whole_or_not_at_all() {
-    let chunked =
-        |body: &str| Act::Raw(format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{body}"));
-    let pair = pair(chunked("4\r\nhalf\r\n"));
+    let chunked = |body: &str, then| {
+        Act::Raw(format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{body}"), then)
+    };
+    let pair = pair(chunked("4\r\nhalf\r\n", Then::End));
     assert_eq!(pair.sidecar.ask(&once("r1")).status(), 502);
-    let server = Server::start(move |_, _| chunked("4\r\nwhol\r\n1\r\ne\r\n0\r\n\r\n"));
+    let server = Server::start(move |_, _| chunked("4\r\nwhol\r\n1\r\ne\r\n0\r\n\r\n", Then::Keep));
     let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
     for _ in 0..3 {
         assert_eq!(sidecar.ask(&once("r1")).text(), "whole");
@@ -125,7 +126,7 @@
     // Each request whose first draw is the closed port must be served by the other server all the same.
     let server = Server::start(|_, _| ok("served"));
     for _ in 0..8 {
-        let known = vec![entry("s1", closed_port(), "up"), entry("s2", server.address, "up")];
+        let known = vec![entry("s1", own_address(), "up"), entry("s2", server.address, "up")];
         let sidecar = Setup::new(known).start();
         for n in 0..4 {
             assert_eq!(sidecar.ask(&once(&format!("r{n}"))).status(), 200);
