Drop idle connections as soon as their server ends them

Seen: one test failed in 3 of about 40 runs under load: a request was written to a connection that its server had closed a moment before, and ended as a reset (log: Ok after 231 us, then Reset after 2,481 us on the same connection). awc looks at a connection only when it takes it from its pool, and the end may still be on its way then; until then a dead one also kept its descriptor. Ruled out: the port, and the order of close and count in the stand-in (it waited for the kernel).

--- a/crates/sidecar/src/module.rs
+++ b/crates/sidecar/src/module.rs
@@ -261,6 +261,7 @@
 
     fn ended(&mut self, id: RequestId, attempt: Attempt, server: ServerId, ended: Ended) {
         let Ended { status, latency, load, body } = ended;
+        log::debug!("attempt {} of request {}: {status:?} after {} us", attempt.0, id.0, latency.as_micros());
         let mut closed = true;
         if let Some(entry) = self.requests.get_mut(&id) {
             entry.out = entry.out.saturating_sub(1);
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -19,13 +19,14 @@
 use futures_util::future::{AbortHandle, Abortable, Aborted, LocalBoxFuture};
 use futures_util::stream::FuturesUnordered;
 use rustc_hash::FxHashMap;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
@@ -165,6 +166,7 @@
                     None => return,
                 },
                 Some(done) = self.out.next(), if !self.out.is_empty() => self.done(done),
+                at = ended_idle(&self.idle), if !self.idle.is_empty() => drop(self.idle.remove(at)),
                 () = sleep_until(oldest.unwrap_or_else(Instant::now)), if oldest.is_some() => {
                     let (now, idle) = (Instant::now(), self.common.own.idle);
                     self.idle.retain(|line| line.since + idle > now);
@@ -225,7 +227,7 @@
     }
 
     fn done(&mut self, done: Done) {
-        if let Some(mut line) = done.line.filter(|line| line.wire.open.get()) {
+        if let Some(mut line) = done.line.filter(|line| line.wire.open()) {
             line.since = Instant::now();
             self.idle.push(line);
         }
@@ -241,7 +243,7 @@
     /// The idle connection used last, or a new one, which is opened when it is first sent on.
     fn line(&mut self) -> Line {
         while let Some(line) = self.idle.pop() {
-            if line.wire.open.get() {
+            if line.wire.open() {
                 return line;
             }
         }
@@ -308,7 +310,7 @@
     // an error. Without a length, a body that came whole leaves its connection open, and a broken one took
     // the connection with it.
     drop(response);
-    let complete = length.map_or(wire.open.get(), |length| length == body.len());
+    let complete = length.map_or(wire.open(), |length| length == body.len());
     if complete { Ok(body) } else { Err(Status::Reset) }
 }
 
@@ -351,21 +353,47 @@
     closes: Cell<Option<Instant>>,
 }
 
-/// What is seen of a connection from outside awc.
+/// What is seen of a connection from outside awc, which owns it.
 #[derive(Default)]
 struct Wire {
-    open: Cell<bool>,
+    stream: RefCell<Weak<TcpStream>>,
     /// Bytes of the present request that the kernel took.
     sent: Cell<usize>,
 }
 
 impl Wire {
+    fn open(&self) -> bool {
+        self.stream.borrow().strong_count() > 0
+    }
+
+    /// Whether an idle connection has ended: nothing but its end is due to come on it.
+    fn ended(&self, cx: &mut Context<'_>) -> bool {
+        let Some(stream) = self.stream.borrow().upgrade() else { return true };
+        while stream.poll_read_ready(cx).is_ready() {
+            match stream.try_read(&mut [0]) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(_) | Err(_) => return true,
+            }
+        }
+        false
+    }
+
     /// This status where anything was sent, else the one that says that nothing can have run.
     fn unless_sent(&self, status: Status) -> Status {
         if self.sent.get() == 0 { Status::ConnectFailed } else { status }
     }
 }
 
+/// Waits until one of the idle connections has ended, and tells its place. A server that closes one gets its
+/// end at once, and nothing is written to it any more.
+async fn ended_idle(idle: &[Line]) -> usize {
+    poll_fn(|cx| {
+        let ended = idle.iter().position(|line| line.wire.ended(cx));
+        ended.map_or(Poll::Pending, Poll::Ready)
+    })
+    .await
+}
+
 /// A connection to the server, or one to be opened.
 struct Line {
     client: awc::Client,
@@ -421,7 +449,8 @@
             })?;
             let stream = TcpStream::connect(endpoint).await.map_err(ConnectError::Io)?;
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
-            dial.wire.open.set(true);
+            let stream = Rc::new(stream);
+            *dial.wire.stream.borrow_mut() = Rc::downgrade(&stream);
             let io = ServerIo { stream, gate: dial.gate, wire: dial.wire, _permit: permit };
             Ok(Connection::new(uri, io))
         })
@@ -430,18 +459,12 @@
 
 /// A connection to a server. Dropping it closes the socket and gives its descriptor back.
 struct ServerIo {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     gate: Rc<Gate>,
     wire: Rc<Wire>,
     _permit: OwnedSemaphorePermit,
 }
 
-impl Drop for ServerIo {
-    fn drop(&mut self) {
-        self.wire.open.set(false);
-    }
-}
-
 impl std::fmt::Debug for ServerIo {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         self.stream.fmt(f)
@@ -450,40 +473,52 @@
 
 impl AsyncRead for ServerIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_read(cx, buf)
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result.map(|n| buf.advance(n))),
+            }
+        }
     }
 }
 
 impl AsyncWrite for ServerIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let this = self.get_mut();
         // Guards the drain: an attempt that waited for its connection must not begin after the grace.
-        if this.wire.sent.get() == 0 && this.gate.closes.get().is_some_and(|at| Instant::now() >= at) {
+        if self.wire.sent.get() == 0 && self.gate.closes.get().is_some_and(|at| Instant::now() >= at) {
             return Poll::Ready(Err(io::Error::other(Unsent("the server leaves and its grace is over"))));
         }
-        let result = Pin::new(&mut this.stream).poll_write(cx, buf);
-        if let Poll::Ready(Ok(n)) = result {
-            this.wire.sent.set(this.wire.sent.get() + n);
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok(n) => {
+                    self.wire.sent.set(self.wire.sent.get() + n);
+                    return Poll::Ready(Ok(n));
+                }
+            }
         }
-        result
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    /// The socket is closed when it is dropped, which comes next.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 }
 
 impl ActixStream for ServerIo {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.stream, cx)
+        ActixStream::poll_read_ready(&*self.stream, cx)
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.stream, cx)
+        ActixStream::poll_write_ready(&*self.stream, cx)
     }
 }
 
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -455,6 +455,9 @@
 
 impl Drop for Sidecar {
     fn drop(&mut self) {
+        if thread::panicking() {
+            eprintln!("the sidecar's log:\n{}", self.log.all().join("\n"));
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
--- a/crates/sidecar/tests/outcomes.rs
+++ b/crates/sidecar/tests/outcomes.rs
@@ -208,8 +208,9 @@
             assert!(matches!(message, Ok(Some(_))));
             let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
             std::io::Write::write_all(&mut &stream, answer).unwrap();
-            // Closing waits until the other side has the end of the connection.
-            socket2::SockRef::from(&stream).set_linger(Some(PATIENCE)).unwrap();
+            // The other side has seen the end once it closes its own.
+            stream.shutdown(std::net::Shutdown::Write).unwrap();
+            assert_eq!(std::io::Read::read(&mut &stream, &mut [0]).unwrap(), 0);
             drop(stream);
             count.push(());
         }
