--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -486,13 +486,13 @@
 
     /// Waits until the other side ends the connection; no byte may come before.
     pub fn ended(&mut self) {
-        let mut byte = [0];
-        match self.input.read(&mut byte) {
-            Ok(0) => {}
-            Ok(_) => panic!("a byte came after the answer"),
+        let mut rest = Vec::new();
+        match self.input.read_to_end(&mut rest) {
+            Ok(_) => {}
             Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => {}
             Err(error) => panic!("the connection did not end: {error}"),
         }
+        assert_eq!(String::from_utf8_lossy(&rest), "", "bytes came after the answer");
     }
 }
 
