--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -82,6 +82,7 @@
     log::info!("listening on {listen}");
     loop {
         let permit = tokio::select! {
+            biased;
             permit = connections.clone().acquire_owned() => permit?,
             _ = stage.wait_for(|s| *s == Stage::Closing) => break,
         };
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -39,6 +39,7 @@
     logger::start(config.own.log);
     log::info!("sidecar {} starts, {} servers known", config.name, config.known.entries.len());
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
     let (site, own) = (Rc::new(config.site), Rc::new(config.own));
     let (handle, mailbox) = module::mailbox();
     let list = list::List {
@@ -66,9 +67,10 @@
         // Without its decisions it cannot serve: ended here, it is started again.
         end = &mut module => return end.context("the module ended").and(Err(anyhow!("the module ended"))),
         _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
     }
     let told = Instant::now();
-    log::info!("SIGTERM: serving on for {:?}, then answering what was taken", own.accept_after_term);
+    log::info!("told to end: serving on for {:?}, then answering what was taken", own.accept_after_term);
     stage.send_replace(Stage::Leaving);
     sleep(own.accept_after_term).await;
     stage.send_replace(Stage::Closing);
