Test what waits to be accepted with as many connections as fill a turn of the program

Ten were all accepted before the program saw the signal, with the fault as without; a hundred fail without the mend each time and pass with it. Three hundred outgrew the listener's queue of 128, and the test stood still.

--- a/crates/sidecar/tests/life.rs
+++ b/crates/sidecar/tests/life.rs
@@ -54,7 +54,8 @@
         client.send(&read(&format!("r{n}")));
         client
     };
-    let clients: Vec<Client> = (0..10).map(ask).collect();
+    // So many that they cannot all be accepted before the program comes to see the signal.
+    let clients: Vec<Client> = (0..100).map(ask).collect();
     sidecar.signal("TERM");
     sidecar.signal("CONT");
     for mut client in clients {
