Queue as many connections as may be taken before they are accepted

Line at fault: the listener's default queue of 128 (front.rs). A test with 200 connections fails without it.

--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -21,7 +21,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
 use tokio::time::{Instant, sleep};
 
@@ -58,8 +58,8 @@
     module: module::Handle,
     mut stage: watch::Receiver<Stage>,
 ) -> Result<()> {
-    let listener = TcpListener::bind(listen).await.with_context(|| format!("EDGE_LISTEN: {listen}"))?;
     let most = own.client_connections + OVER;
+    let listener = bind(listen, most).with_context(|| format!("EDGE_LISTEN: {listen}"))?;
     let connections = Arc::new(Semaphore::new(most));
     let requests = Arc::new(Semaphore::new(own.requests));
     let front = Front { site, own, module, requests, next: Cell::new(0), stage: stage.clone() };
@@ -133,6 +133,15 @@
     Ok(())
 }
 
+/// Listens with a queue that holds as many connections as may be taken: beyond the usual one of 128 they did not
+/// come up while the program stood still.
+fn bind(listen: SocketAddr, most: usize) -> io::Result<TcpListener> {
+    let socket = if listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(listen)?;
+    socket.listen(u32::try_from(most).unwrap_or(u32::MAX))
+}
+
 /// Takes one request and waits for its answer.
 async fn handle(front: Rc<Front>, mut request: actix_http::Request) -> Result<Response<Bytes>, Infallible> {
     let received = Instant::now();
--- a/crates/sidecar/tests/life.rs
+++ b/crates/sidecar/tests/life.rs
@@ -54,8 +54,9 @@
         client.send(&read(&format!("r{n}")));
         client
     };
-    // So many that they cannot all be accepted before the program comes to see the signal.
-    let clients: Vec<Client> = (0..100).map(ask).collect();
+    // So many that they cannot all be accepted before the program comes to see the signal, and more than a
+    // listener's usual queue of 128 holds: the others' connections would not come up while it stands still.
+    let clients: Vec<Client> = (0..200).map(ask).collect();
     sidecar.signal("TERM");
     sidecar.signal("CONT");
     for mut client in clients {
