--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -246,3 +246,40 @@
 pub fn common_name(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const EXAMPLE: &str = r#"{"balancers":2,"me":1,"locality":1,"zones":["a","b"],"new":1,
+        "classes":[{"name":"pay","aim":300000,"deadline":740000,"gain":10.0,"semantics":"dedup","group":"all",
+                    "window":7500000}],
+        "tenants":[{"name":"acme","share":0.2,"quota_per_s":26.0}],
+        "stats":{"fields":["inflight","latency_ms"],"how":"inline"},
+        "limits":{"conn_idle":5000000,"max_open":40000,"try_limit":6},
+        "safety":{"drain_grace":1000000,"cold":8600000}}"#;
+
+    #[test]
+    fn names_and_limits_for_the_host_stand_beside_the_modules_settings() -> Result<()> {
+        for site in [read(EXAMPLE)?, read_value(serde_json::from_str(EXAMPLE)?)?] {
+            assert_eq!((site.classes, site.tenants), (vec!["pay".to_owned()], vec!["acme".to_owned()]));
+            assert_eq!((site.zones.len(), site.fields.len()), (2, 2));
+            assert_eq!((site.conn_idle, site.max_open), (Some(Span(5_000_000)), Some(40_000)));
+            assert_eq!(site.drain_grace, Some(Span(1_000_000)));
+            assert_eq!((site.settings.me, site.settings.zone), (1, 1));
+            assert_eq!(site.settings.fields, [Field::Inflight, Field::Other]);
+            let effect = Effect::Keyed { group: Group::All, window: Span(7_500_000) };
+            assert_eq!(site.settings.classes[0].effect, effect);
+        }
+        Ok(())
+    }
+
+    #[test]
+    fn a_fault_is_named() {
+        let fault = |from: &str, to: &str| format!("{:#}", read(&EXAMPLE.replace(from, to)).unwrap_err());
+        assert!(fault("dedup", "odd").contains("unknown semantics 'odd'"));
+        assert!(fault("\"all\"", "\"some\"").contains("unknown group Some(\"some\")"));
+        assert!(fault("inline", "aloud").contains("unknown stats.how 'aloud'"));
+        assert!(fault("\"aim\"", "\"goal\"").contains("missing field `aim`"));
+    }
+}
--- a/crates/sidecar/tests/requests.rs
+++ b/crates/sidecar/tests/requests.rs
@@ -104,6 +104,20 @@
     assert_eq!(sidecar.ask(&read("r1")).header("retry-after"), Some("0.050"));
 }
 
+#[test]
+fn a_hint_of_work_reaches_the_rules() {
+    let server = Server::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
+    // Work of ten seconds can't be done within the client's time: refused at once, and never sent.
+    let with_hint =
+        |id: &str, cost: &str| read(id).replace("\r\n\r\n", &format!("\r\nX-Cost: {cost}\r\n\r\n"));
+    assert_eq!(sidecar.ask(&with_hint("r1", "10000000")).status(), 503);
+    assert_eq!(server.count(), 0);
+    for (id, cost) in [("r2", "12000"), ("r3", "12000.5"), ("r4", "much")] {
+        assert_eq!(sidecar.ask(&with_hint(id, cost)).status(), 200, "X-Cost: {cost}");
+    }
+}
+
 #[test]
 fn the_clients_deadline_is_answered_and_the_attempt_given_up() {
     let server = Server::start(|_, _| Act::Hang);
