Write log lines that each request could bring once a second at most

By reading: under a bound or with malformed requests each request wrote a line, and a pipe that nobody reads in time would stop the only thread (front.rs, peer.rs). A test with 200 malformed requests counts the lines.

--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -2,6 +2,7 @@
 //! one answer.
 
 use crate::config::Own;
+use crate::logger::Seldom;
 use crate::message::{Answer, HEALTH, Malformed, Request, read_body};
 use crate::module;
 use actix_http::{HttpService, KeepAlive, Method, Response, StatusCode};
@@ -11,6 +12,7 @@
 use bytes::Bytes;
 use dunlincleat::api::RequestId;
 use dunlincleat_settings::Site;
+use log::Level;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
@@ -48,6 +50,9 @@
     requests: Arc<Semaphore>,
     next: Cell<u64>,
     stage: watch::Receiver<Stage>,
+    /// Lines of the log for requests refused at a bound, and for malformed ones.
+    full: Seldom,
+    malformed: Seldom,
 }
 
 /// Accepts and serves until the stage is `Closing` and every connection has ended.
@@ -62,7 +67,9 @@
     let listener = bind(listen, most).with_context(|| format!("EDGE_LISTEN: {listen}"))?;
     let connections = Arc::new(Semaphore::new(most));
     let requests = Arc::new(Semaphore::new(own.requests));
-    let front = Front { site, own, module, requests, next: Cell::new(0), stage: stage.clone() };
+    let (full, malformed) = (Seldom::default(), Seldom::default());
+    let stages = stage.clone();
+    let front = Front { site, own, module, requests, next: Cell::new(0), stage: stages, full, malformed };
     let front = Rc::new(front);
     // No limit of the server's own may end a request: the module's deadlines do.
     let service = HttpService::build()
@@ -150,13 +157,18 @@
     let mut response = if request.method() == Method::GET && request.path() == HEALTH {
         Response::with_body(StatusCode::OK, Bytes::from_static(b"ok\n"))
     } else if over {
-        log::warn!("request refused: the bound on client connections is reached");
+        front.full.say(
+            module_path!(),
+            Level::Warn,
+            "request refused: the bound on client connections is reached",
+        );
         Answer::Refused { retry_after: None }.encode()
     } else {
         match front.take(&mut request, received).await {
             Ok(answer) => answer.encode(),
             Err(malformed) => {
-                log::info!("request not taken: {} ({})", malformed.what, malformed.status.as_u16());
+                let line = format!("request not taken: {} ({})", malformed.what, malformed.status.as_u16());
+                front.malformed.say(module_path!(), Level::Info, line);
                 malformed.encode()
             }
         }
@@ -175,7 +187,11 @@
         let decoded = Request::decode(request.head(), &self.site)?;
         let body = read_body(&mut request.take_payload(), self.own.body_bytes).await?;
         let Ok(permit) = self.requests.clone().try_acquire_owned() else {
-            log::warn!("request refused: the bound on requests in hand is reached");
+            self.full.say(
+                module_path!(),
+                Level::Warn,
+                "request refused: the bound on requests in hand is reached",
+            );
             return Ok(Answer::Refused { retry_after: None });
         };
         let id = RequestId(self.next.replace(self.next.get() + 1));
--- a/crates/sidecar/src/logger.rs
+++ b/crates/sidecar/src/logger.rs
@@ -1,8 +1,10 @@
 //! The log: one line a message on standard error, `time level part: message`.
 
-use log::{LevelFilter, Log, Metadata, Record};
+use log::{Level, LevelFilter, Log, Metadata, Record};
+use std::cell::Cell;
+use std::fmt::Display;
 use std::io::Write;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 struct Logger;
 
@@ -45,3 +47,24 @@
 
     fn flush(&self) {}
 }
+
+/// Keeps a line that each request could bring to one a second: written for each, they could fill the pipe that
+/// the log goes to, and the process would stand still until somebody reads it.
+#[derive(Default)]
+pub struct Seldom {
+    last: Cell<Option<Instant>>,
+    times: Cell<u64>,
+}
+
+impl Seldom {
+    const PAUSE: Duration = Duration::from_secs(1);
+
+    /// Writes the line with how often it was due since it was last written, or counts it.
+    pub fn say(&self, part: &str, level: Level, line: impl Display) {
+        self.times.set(self.times.get() + 1);
+        if self.last.get().is_none_or(|last| last.elapsed() >= Seldom::PAUSE) {
+            log::log!(target: part, level, "{line} (times: {})", self.times.replace(0));
+            self.last.set(Some(Instant::now()));
+        }
+    }
+}
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -56,6 +56,7 @@
         load_probes: site.settings.reports != Reports::Off,
         grace: site.drain_grace.map_or(Duration::ZERO, |Span(us)| Duration::from_micros(us)),
         sockets: Arc::new(Semaphore::new(own.server_connections)),
+        full: Rc::default(),
         module: handle.clone(),
     };
     let module = module::Module::new(site.clone(), config.seed, peers, list.start());
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -5,6 +5,7 @@
 //! own pool kept would stand idle until the next request, however old.
 
 use crate::config::Own;
+use crate::logger::Seldom;
 use crate::message::{Cut, Reply, Request, authority, probe_uri, read_body};
 use crate::module;
 use actix_http::header;
@@ -97,6 +98,8 @@
     pub grace: Duration,
     /// Connections to servers that may still be opened.
     pub sockets: Arc<Semaphore>,
+    /// The line of the log for attempts that found no place among those.
+    pub full: Rc<Seldom>,
     /// The module's mailbox.
     pub module: module::Handle,
 }
@@ -247,7 +250,7 @@
                 return line;
             }
         }
-        Line::new(self.common.own.connect, self.common.sockets.clone(), self.gate.clone())
+        Line::new(&self.common, self.gate.clone())
     }
 }
 
@@ -402,14 +405,15 @@
 }
 
 impl Line {
-    fn new(connect: Duration, sockets: Arc<Semaphore>, gate: Rc<Gate>) -> Line {
+    fn new(common: &Common, gate: Rc<Gate>) -> Line {
         let wire = Rc::new(Wire::default());
-        let dial = Dial { sockets, gate, wire: wire.clone() };
+        let (sockets, full) = (common.sockets.clone(), common.full.clone());
+        let dial = Dial { sockets, full, gate, wire: wire.clone() };
         // Lifetimes and limits are kept here, so awc's own must never act.
         let never = Duration::from_secs(1 << 30);
         let connector = awc::Connector::new()
             .connector(dial)
-            .timeout(connect)
+            .timeout(common.own.connect)
             .conn_keep_alive(never)
             .conn_lifetime(never)
             .limit(0);
@@ -427,6 +431,7 @@
 #[derive(Clone)]
 struct Dial {
     sockets: Arc<Semaphore>,
+    full: Rc<Seldom>,
     gate: Rc<Gate>,
     wire: Rc<Wire>,
 }
@@ -444,7 +449,8 @@
             let uri = info.request().clone();
             let endpoint = authority(&uri).ok_or(ConnectError::Unresolved)?;
             let permit = dial.sockets.try_acquire_owned().map_err(|_| {
-                log::warn!("no connection to {endpoint}: the bound on server connections is reached");
+                let line = format!("no connection to {endpoint}: the bound on server connections is reached");
+                dial.full.say(module_path!(), log::Level::Warn, line);
                 ConnectError::Io(io::Error::other(Unsent("the bound on server connections is reached")))
             })?;
             let stream = TcpStream::connect(endpoint).await.map_err(ConnectError::Io)?;
--- a/crates/sidecar/tests/requests.rs
+++ b/crates/sidecar/tests/requests.rs
@@ -154,6 +154,20 @@
     }
 }
 
+#[test]
+fn a_line_that_each_request_could_bring_is_written_seldom() {
+    let sidecar = Setup::new(vec![]).start();
+    let start = Instant::now();
+    let mut client = sidecar.connect();
+    for _ in 0..200 {
+        client.send("GET /nowhere HTTP/1.1\r\nHost: x\r\nX-Request-ID: r\r\n\r\n");
+        assert_eq!(client.answer().status(), 404);
+    }
+    sidecar.logged("request not taken: no such class (404) (times: 1)");
+    let lines = sidecar.log.all().iter().filter(|l| l.contains("request not taken")).count();
+    assert!(lines as u64 <= 1 + start.elapsed().as_secs(), "{lines} lines");
+}
+
 #[test]
 fn one_connection_too_many_is_told_so() {
     let server = Server::start(|_, _| ok("x"));
