--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Descriptors kept for what is no traffic: standard streams, the poller, signals, listener, discovery, spares.
@@ -28,11 +29,23 @@
     /// The list of servers as last held.
     pub known: Listing,
     /// The settings object.
-    pub site: Site,
+    pub site: Rc<Site>,
     /// Its own figures.
-    pub own: Own,
+    pub own: Rc<Own>,
+    /// What is taken up only at a start, by key, to tell where a new file differs in it.
+    fixed: Vec<(&'static str, Option<Value>)>,
 }
 
+/// Where a key of the file and a variable say the same thing, the one that goes before the other.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum First {
+    Variable,
+    File,
+}
+
+/// The keys that a reload does not take up. `seed` and `known` matter at a start alone.
+const FIXED: [&str; 5] = ["name", "listen", "limits", "settings", "sidecar"];
+
 /// The figures that the deployment does not tell, from the object `sidecar`, each with a default.
 pub struct Own {
     /// The least level of log lines.
@@ -64,16 +77,41 @@
 impl Config {
     /// Reads the environment and the file that it names.
     pub fn read() -> Result<Config> {
+        Config::load(First::Variable)
+    }
+
+    /// Reads them once more. The environment is that of the start: the file's `discovery` is the newer word.
+    pub fn reread() -> Result<Config> {
+        Config::load(First::File)
+    }
+
+    /// The keys in which the other differs, of those that are taken up only at a start.
+    pub fn differs(&self, other: &Config) -> Vec<&'static str> {
+        let pairs = self.fixed.iter().zip(&other.fixed);
+        pairs.filter(|(mine, others)| mine != others).map(|(mine, _)| mine.0).collect()
+    }
+
+    fn load(discovery: First) -> Result<Config> {
         let path = env("EDGE_CONFIG")?.context("EDGE_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path).with_context(|| format!("EDGE_CONFIG: '{path}'"))?;
-        Config::parse(&text, env)
+        Config::parse(&text, discovery, env)
     }
 
-    fn parse(text: &str, env: impl Fn(&'static str) -> Result<Option<String>>) -> Result<Config> {
+    fn parse(
+        text: &str,
+        discovery_by: First,
+        env: impl Fn(&'static str) -> Result<Option<String>>,
+    ) -> Result<Config> {
         let value: Value = serde_json::from_str(text).context("EDGE_CONFIG: not JSON")?;
         let Value::Object(mut file) = value else { bail!("EDGE_CONFIG: not a JSON object") };
-        let mut text_of = |variable, key: &str| -> Result<(String, String)> {
-            if let Some(value) = env(variable)? {
+        let mut fixed = FIXED.map(|key| (key, file.get(key).cloned())).to_vec();
+        // The level of the log is taken up at once.
+        fixed.iter_mut().filter_map(|(_, value)| value.as_mut()?.as_object_mut()).for_each(|own| {
+            own.remove("log");
+        });
+        let mut text_of = |variable, key: &str, by: First| -> Result<(String, String)> {
+            let variables = env(variable)?.filter(|_| by == First::Variable || !file.contains_key(key));
+            if let Some(value) = variables {
                 return Ok((value, variable.to_owned()));
             }
             match file.remove(key) {
@@ -85,9 +123,9 @@
         let address = |(value, key): (String, String)| -> Result<SocketAddr> {
             value.parse().map_err(|_| anyhow!("{key}: '{value}' is not an address and port"))
         };
-        let name = text_of("EDGE_NAME", "name")?.0;
-        let listen = address(text_of("EDGE_LISTEN", "listen")?)?;
-        let discovery = address(text_of("EDGE_DISCOVERY", "discovery")?)?;
+        let name = text_of("EDGE_NAME", "name", First::Variable)?.0;
+        let listen = address(text_of("EDGE_LISTEN", "listen", First::Variable)?)?;
+        let discovery = address(text_of("EDGE_DISCOVERY", "discovery", discovery_by)?)?;
         let seed = match file.remove("seed") {
             Some(Value::String(hex)) => u64::from_str_radix(&hex, 16)
                 .map_err(|_| anyhow!("EDGE_CONFIG: seed: '{hex}' is not a number of up to 16 hex digits"))?,
@@ -109,8 +147,8 @@
             Some(Value::Object(own)) => own,
             Some(_) => bail!("EDGE_CONFIG: sidecar: not an object"),
         };
-        let own = Own::read(&own, &limits, &site)?;
-        Ok(Config { name, listen, discovery, seed, known, site, own })
+        let own = Rc::new(Own::read(&own, &limits, &site)?);
+        Ok(Config { name, listen, discovery, seed, known, site: Rc::new(site), own, fixed })
     }
 }
 
@@ -202,7 +240,7 @@
 mod tests {
     use super::*;
 
-    fn own(limits: &str, sidecar: &str) -> Result<Own> {
+    fn own(limits: &str, sidecar: &str) -> Result<Rc<Own>> {
         let text = format!(
             r#"{{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"a","limits":{limits},
                 "sidecar":{sidecar},"settings":{{"safety":{{}},
@@ -210,7 +248,7 @@
                            {{"name":"b","aim":400000,"deadline":2000000,"semantics":"retryable"}}],
                 "limits":{{"conn_idle":5000000,"connect_timeout":200000,"max_open":40000}}}}}}"#
         );
-        Ok(Config::parse(&text, |_| Ok(None))?.own)
+        Ok(Config::parse(&text, First::Variable, |_| Ok(None))?.own)
     }
 
     #[test]
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -267,6 +267,7 @@
 }
 
 /// A list of servers, or changes to one.
+#[derive(Default)]
 pub struct Listing {
     /// Its version.
     pub rev: u64,
@@ -369,6 +370,11 @@
     }
 }
 
+/// The address of the whole list.
+pub fn list_uri(discovery: SocketAddr) -> String {
+    format!("http://{discovery}/v1/servers")
+}
+
 /// The address of a watch for what changed after a version.
 pub fn watch_uri(discovery: SocketAddr, after: u64) -> String {
     format!("http://{discovery}/v1/servers?watch=1&after={after}")
--- a/crates/sidecar/src/module.rs
+++ b/crates/sidecar/src/module.rs
@@ -1,7 +1,7 @@
 //! The actor that owns the decision module: its clock, its timers and the table of requests. It hands events
 //! to the module and carries its actions out; it decides nothing itself.
 
-use crate::list::Watch;
+use crate::list;
 use crate::message::{Answer, Listing, Request};
 use crate::peer::{self, Ended};
 use dunlincleat::Balancer;
@@ -9,7 +9,7 @@
     Action, Attempt, Event, ListKind, Member, RequestId, ServerId, Span, State, Status, Time, Token,
 };
 use dunlincleat_settings::{Site, common_name};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::rc::Rc;
@@ -137,7 +137,7 @@
     site: Rc<Site>,
     clock: Clock,
     peers: peer::Common,
-    list: mpsc::UnboundedSender<Watch>,
+    list: mpsc::UnboundedSender<list::Msg>,
     timers: BinaryHeap<Reverse<(Instant, u64, u64)>>,
     timers_set: u64,
     requests: FxHashMap<RequestId, Entry>,
@@ -149,7 +149,12 @@
 
 impl Module {
     /// The actor; `list` is the mailbox of the one that follows discovery.
-    pub fn new(site: Rc<Site>, seed: u64, peers: peer::Common, list: mpsc::UnboundedSender<Watch>) -> Module {
+    pub fn new(
+        site: Rc<Site>,
+        seed: u64,
+        peers: peer::Common,
+        list: mpsc::UnboundedSender<list::Msg>,
+    ) -> Module {
         let mut settings = site.settings.clone();
         if settings.limits.peers {
             log::warn!("messages between sidecars have no protocol yet: the module does without");
@@ -322,6 +327,13 @@
                 common: common_name(&entry.uid),
             });
         }
+        if kind == ListKind::Whole {
+            // What the whole list lacks is gone, though no entry says so.
+            let listed: FxHashSet<ServerId> = members.iter().map(|m| m.server).collect();
+            for missing in (0..self.servers.len() as u32).map(ServerId).filter(|id| !listed.contains(id)) {
+                self.tell(missing, peer::Msg::Missing);
+            }
+        }
         let count = |state| members.iter().filter(|m| m.state == state).count();
         log::info!(
             "list {} revision {}: {} up, {} draining, {} removed",
@@ -372,7 +384,7 @@
                 self.timers.push(Reverse((at, self.timers_set, token.0)));
             }
             Action::Watch => {
-                let _ = self.list.send(Watch);
+                let _ = self.list.send(list::Msg::Watch);
             }
             Action::Tell { .. } => log::debug!("no protocol for messages between sidecars"),
             Action::Log { server, text } => match server.and_then(|s| self.servers.get(s.0 as usize)) {
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -64,6 +64,8 @@
         /// When it last started.
         boot_ms: u64,
     },
+    /// The whole list lacks it.
+    Missing,
 }
 
 /// How an attempt or a probe ended.
@@ -219,16 +221,24 @@
                     self.idle.clear();
                 }
                 (self.endpoint, self.boot_ms) = (endpoint, boot_ms);
-                let closes = match (state, self.gate.closes.get()) {
-                    (State::Ready, _) => None,
-                    (State::Draining | State::Gone, None) => Some(Instant::now() + self.common.grace),
-                    (State::Draining | State::Gone, closes) => closes,
-                };
-                self.gate.closes.set(closes);
+                self.listed(state);
+            }
+            Msg::Missing => {
+                self.idle.clear();
+                self.listed(State::Gone);
             }
         }
     }
 
+    fn listed(&mut self, state: State) {
+        let closes = match (state, self.gate.closes.get()) {
+            (State::Ready, _) => None,
+            (State::Draining | State::Gone, None) => Some(Instant::now() + self.common.grace),
+            (State::Draining | State::Gone, closes) => closes,
+        };
+        self.gate.closes.set(closes);
+    }
+
     fn done(&mut self, done: Done) {
         if let Some(mut line) = done.line.filter(|line| line.wire.open()) {
             line.since = Instant::now();
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -261,31 +261,64 @@
 /// Discovery: takes watches and sends the lines that a test gives it.
 pub struct Discovery {
     pub address: SocketAddr,
-    /// The targets of the calls.
+    /// The targets of the watches, and of calls for the whole list.
     pub calls: Seen<String>,
+    pub lists: Seen<String>,
+    /// What a call for the whole list is answered with; while there is nothing, it gets no answer.
+    whole: Arc<Mutex<Option<String>>>,
+    /// Watches that the other side ended.
+    pub ended: Seen<usize>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Discovery {
     pub fn start() -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let (calls, streams) = (Seen::new(), Arc::new(Mutex::new(Vec::new())));
+        let (calls, lists, ended) = (Seen::new(), Seen::new(), Seen::new());
+        let (streams, whole) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(None)));
         let address = listener.local_addr().unwrap();
-        let discovery = Discovery { address, calls: calls.clone(), streams: streams.clone() };
+        let discovery = Discovery {
+            address,
+            calls: calls.clone(),
+            lists: lists.clone(),
+            whole: whole.clone(),
+            ended: ended.clone(),
+            streams: streams.clone(),
+        };
         thread::spawn(move || {
-            for stream in listener.incoming() {
+            for (connection, stream) in listener.incoming().enumerate() {
                 let Ok(mut stream) = stream else { return };
-                let Ok(Some(call)) = read_message(&mut BufReader::new(stream.try_clone().unwrap())) else {
-                    continue;
-                };
-                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-                streams.lock().unwrap().push(stream);
-                calls.push(call.target().to_owned());
+                let (calls, lists, ended) = (calls.clone(), lists.clone(), ended.clone());
+                let (whole, streams): (Arc<Mutex<Option<String>>>, _) = (whole.clone(), streams.clone());
+                thread::spawn(move || {
+                    let mut input = BufReader::new(stream.try_clone().unwrap());
+                    while let Ok(Some(call)) = read_message(&mut input) {
+                        if call.target().contains("watch=1") {
+                            let _ =
+                                stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                            streams.lock().unwrap().push(stream.try_clone().unwrap());
+                            calls.push(call.target().to_owned());
+                            continue;
+                        }
+                        lists.push(call.target().to_owned());
+                        if let Some(list) = whole.lock().unwrap().as_ref() {
+                            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+                            let _ = stream.write_all((head + list).as_bytes());
+                        }
+                    }
+                    ended.push(connection);
+                });
             }
         });
         discovery
     }
 
+    /// Sets what a call for the whole list is answered with.
+    pub fn hold(&self, rev: u64, targets: Vec<Value>) {
+        let list = json!({"rev": rev, "all": true, "targets": targets}).to_string();
+        *self.whole.lock().unwrap() = Some(list);
+    }
+
     /// Sends bytes on the newest watch.
     pub fn send_raw(&self, bytes: &str) {
         let mut streams = self.streams.lock().unwrap();
@@ -378,7 +411,7 @@
         });
         let listen = self.config["listen"].as_str().and_then(|l| l.parse().ok());
         let listen = listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
-        Sidecar { child, listen, log, reader: Some(reader), _file: file }
+        Sidecar { child, listen, log, reader: Some(reader), file, config: self.config }
     }
 
     /// Starts the program and waits until it serves.
@@ -404,7 +437,8 @@
     pub listen: SocketAddr,
     pub log: Seen<String>,
     reader: Option<thread::JoinHandle<()>>,
-    _file: tempfile::NamedTempFile,
+    file: tempfile::NamedTempFile,
+    pub config: Value,
 }
 
 impl Sidecar {
@@ -424,6 +458,12 @@
         assert!(Command::new("kill").args(["-s", signal, &pid]).status().unwrap().success());
     }
 
+    /// Replaces the file of the configuration and tells the program so.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(self.file.path(), config).unwrap();
+        self.signal("HUP");
+    }
+
     /// Waits for the end of the program and gives what it wrote.
     pub fn end(mut self) -> (ExitStatus, String) {
         let end = Instant::now() + PATIENCE;
