--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -54,6 +54,10 @@
     pub body_bytes: usize,
     /// Connections that clients may hold.
     pub client_connections: usize,
+    /// How long a client may take from connecting, or from its first byte, to a whole request.
+    pub client_request: Duration,
+    /// How long a connection of a client may stand idle.
+    pub client_idle: Duration,
     /// Connections to servers, all together.
     pub server_connections: usize,
     /// Requests in hand at a time.
@@ -213,6 +217,8 @@
             body_bytes: body_bytes as usize,
             requests: number("requests", requests, 1)? as usize,
             client_connections,
+            client_request: millis("client_request_ms", 2200, 1)?,
+            client_idle: millis("client_idle_ms", 3000, 2000)?,
             server_connections,
             // The server closes one that is as old as the site's figure at the latest: half of it is well before.
             idle: millis("idle_ms", site.conn_idle.map_or(2500, |s| ms(s) / 2), 1)?,
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -5,6 +5,8 @@
 use crate::logger::Seldom;
 use crate::message::{Answer, HEALTH, Malformed, Request, read_body};
 use crate::module;
+use actix_http::error::DispatchError;
+use actix_http::header::HeaderValue;
 use actix_http::{HttpService, KeepAlive, Method, Response, StatusCode};
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory, fn_service};
@@ -13,7 +15,8 @@
 use dunlincleat::api::RequestId;
 use dunlincleat_settings::Site;
 use log::Level;
-use std::cell::Cell;
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -24,11 +27,20 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot, watch};
 use tokio::time::{Instant, sleep};
 
 /// Connections beyond the bound that are still taken, to be told so.
 const OVER: usize = 16;
+/// How often the clients' deadlines are looked at.
+const SWEEP: Duration = Duration::from_millis(100);
+/// At the bound, the age from which an idle connection, or one without a whole request, makes room for a new one.
+const SPARE_IDLE: Duration = Duration::from_secs(2);
+const SPARE_SILENT: Duration = Duration::from_millis(200);
+/// What is read of a client that sends on while its request is in hand or after it was turned away.
+const SURPLUS: usize = 64 * 1024;
+/// How long a client that was turned away may send on.
+const DRAIN: Duration = Duration::from_secs(1);
 
 /// How far the shutdown has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -48,6 +60,8 @@
     module: module::Handle,
     /// Requests that may still be taken.
     requests: Arc<Semaphore>,
+    /// The names of those that are taken.
+    ids: RefCell<FxHashSet<HeaderValue>>,
     next: Cell<u64>,
     stage: watch::Receiver<Stage>,
     /// Lines of the log for requests refused at a bound, and for malformed ones.
@@ -67,25 +81,36 @@
     let listener = bind(listen, most).with_context(|| format!("EDGE_LISTEN: {listen}"))?;
     let connections = Arc::new(Semaphore::new(most));
     let requests = Arc::new(Semaphore::new(own.requests));
-    let (full, malformed) = (Seldom::default(), Seldom::default());
-    let stages = stage.clone();
-    let front = Front { site, own, module, requests, next: Cell::new(0), stage: stages, full, malformed };
-    let front = Rc::new(front);
-    // No limit of the server's own may end a request: the module's deadlines do.
+    let front = Rc::new(Front {
+        site,
+        own: own.clone(),
+        module,
+        requests,
+        ids: RefCell::default(),
+        next: Cell::new(0),
+        stage: stage.clone(),
+        full: Seldom::default(),
+        malformed: Seldom::default(),
+    });
+    let handler = front.clone();
+    // No limit of the server's own may end a request: the module's deadlines do, and `ClientState` has those
+    // of a client that has no request in hand.
     let service = HttpService::build()
         .keep_alive(KeepAlive::Os)
         .client_request_timeout(Duration::ZERO)
-        .client_disconnect_timeout(Duration::from_secs(1))
+        .client_disconnect_timeout(DRAIN)
         // A client that closes has gone: its request's handler is dropped.
         .h1_allow_half_closed(false)
         .on_connect_ext(|io: &ClientIo, data| {
-            data.insert(io.state.clone());
+            data.insert(io.seat.state.clone());
         })
-        .h1(fn_service(move |request| handle(front.clone(), request)))
+        .h1(fn_service(move |request| handle(handler.clone(), request)))
         .new_service(())
         .await
         .map_err(|()| anyhow!("the server could not be set up"))?;
     let service = Rc::new(service);
+    let clients = Rc::new(Clients { own, seats: RefCell::default(), next: Cell::new(0) });
+    let sweeper = actix_rt::spawn(sweep(clients.clone(), connections.clone()));
     log::info!("listening on {listen}");
     loop {
         let permit = tokio::select! {
@@ -106,40 +131,65 @@
             // What waits to be accepted has been accepted already by the machine: it is taken first.
             _ = stage.wait_for(|s| *s == Stage::Closing) => break,
         };
-        let over = connections.available_permits() < OVER;
-        let mut stage = stage.clone();
-        let service = service.clone();
-        actix_rt::spawn(async move {
-            if let Err(error) = stream.set_nodelay(true) {
-                log::debug!("connection not set up: {error}");
-            }
-            let state = Rc::new(ClientState { idle: Cell::new(true), over });
-            let io = ClientIo { stream, state, stage: stage.clone(), _permit: permit };
-            let mut connection = pin!(service.call((io, None)));
-            loop {
-                tokio::select! {
-                    biased;
-                    end = &mut connection => {
-                        if let Err(error) = end {
-                            log::debug!("connection of a client ended: {error}");
-                        }
-                        return;
-                    }
-                    // Polls the connection once more, which then sees that it is to close.
-                    changed = stage.changed() => if changed.is_err() {
-                        let _ = (&mut connection).await;
-                        return;
-                    },
-                }
-            }
-        });
+        actix_rt::spawn(connection(stream, clients.seat(permit), service.clone(), front.clone()));
     }
     drop(listener);
     // All permits are back when all connections have ended.
     let _all = connections.acquire_many(most as u32).await?;
+    sweeper.abort();
     Ok(())
 }
 
+/// Serves one connection to its end.
+async fn connection<S>(stream: TcpStream, seat: Seat, service: Rc<S>, front: Rc<Front>)
+where
+    S: Service<(ClientIo, Option<SocketAddr>), Response = (), Error = DispatchError>,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("connection not set up: {error}");
+    }
+    let (state, mut stage) = (seat.state.clone(), front.stage.clone());
+    let mut connection = pin!(service.call((ClientIo { stream, seat, stage: stage.clone() }, None)));
+    loop {
+        tokio::select! {
+            biased;
+            end = &mut connection => {
+                match end {
+                    Err(DispatchError::Parse(error)) => {
+                        let line = format!("request not taken: it can't be read: {error}");
+                        front.malformed.say(module_path!(), Level::Info, line);
+                    }
+                    Err(error) => log::debug!("connection of a client ended: {error}"),
+                    Ok(()) => {}
+                }
+                return;
+            }
+            // Either polls the connection once more, which then sees that it is to close or may read on.
+            () = state.wake.notified() => {}
+            changed = stage.changed() => if changed.is_err() {
+                let _ = (&mut connection).await;
+                return;
+            },
+        }
+    }
+}
+
+/// Closes connections whose time is over, and one more where all places are taken.
+async fn sweep(clients: Rc<Clients>, connections: Arc<Semaphore>) {
+    loop {
+        sleep(SWEEP).await;
+        let now = Instant::now();
+        for state in clients.seats.borrow().values() {
+            if state.due(&clients.own).is_some_and(|due| due <= now) {
+                state.close();
+            }
+        }
+        if connections.available_permits() == 0 {
+            clients.make_room(now);
+        }
+    }
+}
+
 /// Listens with a queue that holds as many connections as may be taken: beyond the usual one of 128 they did not
 /// come up while the program stood still.
 fn bind(listen: SocketAddr, most: usize) -> io::Result<TcpListener> {
@@ -154,6 +204,8 @@
     let received = Instant::now();
     let state = request.conn_data::<Rc<ClientState>>().cloned();
     let over = state.as_ref().is_some_and(|state| state.over);
+    // A client that was turned away is told to close: what it sent ahead is not worth more work.
+    let mut turned_away = false;
     let mut response = if request.method() == Method::GET && request.path() == HEALTH {
         Response::with_body(StatusCode::OK, Bytes::from_static(b"ok\n"))
     } else if over {
@@ -164,27 +216,35 @@
         );
         Answer::Refused { retry_after: None }.encode()
     } else {
-        match front.take(&mut request, received).await {
+        match front.take(&mut request, state.as_deref(), received).await {
             Ok(answer) => answer.encode(),
             Err(malformed) => {
                 let line = format!("request not taken: {} ({})", malformed.what, malformed.status.as_u16());
                 front.malformed.say(module_path!(), Level::Info, line);
+                turned_away = true;
                 malformed.encode()
             }
         }
     };
-    if over || *front.stage.borrow() > Stage::Serving {
+    let close = turned_away || over || *front.stage.borrow() > Stage::Serving;
+    if close {
         // It ends once the answer is written; nothing else may end it before.
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
-    } else if let Some(state) = state {
-        state.idle.set(true);
+    }
+    if let Some(state) = state {
+        state.enter(if close { Phase::Draining } else { Phase::Idle });
     }
     Ok(response)
 }
 
 impl Front {
-    async fn take(&self, request: &mut actix_http::Request, received: Instant) -> Result<Answer, Malformed> {
-        let decoded = Request::decode(request.head(), &self.site)?;
+    async fn take(
+        &self,
+        request: &mut actix_http::Request,
+        state: Option<&ClientState>,
+        received: Instant,
+    ) -> Result<Answer, Malformed> {
+        let decoded = Request::decode(request.head(), &self.site, self.own.body_bytes)?;
         let body = read_body(&mut request.take_payload(), self.own.body_bytes).await?;
         let Ok(permit) = self.requests.clone().try_acquire_owned() else {
             self.full.say(
@@ -194,9 +254,15 @@
             );
             return Ok(Answer::Refused { retry_after: None });
         };
+        // A copy of a request in hand, whoever sends it, would be a second run of it.
+        if !self.ids.borrow_mut().insert(decoded.id.clone()) {
+            return Err(Malformed { status: StatusCode::CONFLICT, what: "X-Request-ID is in use" });
+        }
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (slot, answer) = oneshot::channel();
-        let mut taken = Taken { id, module: self.module.clone(), answered: false, _permit: permit };
+        let (module, name) = (self.module.clone(), decoded.id.clone());
+        let mut taken = Taken { id, name, front: self, module, answered: false, _permit: permit };
+        state.into_iter().for_each(|state| state.enter(Phase::InHand));
         self.module.request(id, decoded.with_body(body), received, slot);
         let answer = answer.await;
         taken.answered = true;
@@ -208,48 +274,182 @@
 }
 
 /// A request in the module's hands. Dropped unanswered, as when its client closes, it tells the module so.
-struct Taken {
+struct Taken<'a> {
     id: RequestId,
+    name: HeaderValue,
+    front: &'a Front,
     module: module::Handle,
     answered: bool,
     _permit: OwnedSemaphorePermit,
 }
 
-impl Drop for Taken {
+impl Drop for Taken<'_> {
     fn drop(&mut self) {
+        self.front.ids.borrow_mut().remove(&self.name);
         if !self.answered {
             self.module.gone(self.id);
         }
     }
 }
 
+/// How far a client's connection has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Nothing has come on it yet.
+    Silent,
+    /// A request has begun and is not whole.
+    Reading,
+    /// A request is in the module's hands: nothing here ends it.
+    InHand,
+    /// The last request was answered and no byte has come since.
+    Idle,
+    /// It was turned away, or told that this was its last answer.
+    Draining,
+}
+
 /// What is known of a client's connection.
 struct ClientState {
-    /// No byte of a request has come since the last answer.
-    idle: Cell<bool>,
+    accepted: Instant,
+    phase: Cell<Phase>,
+    /// Since when it counts against the time that the phase has.
+    since: Cell<Instant>,
+    /// It ends as soon as nothing more can be read.
+    closing: Cell<bool>,
+    /// Bytes read while a request was in hand, or while draining.
+    surplus: Cell<usize>,
     /// It is one too many.
     over: bool,
+    /// Has the connection polled once more.
+    wake: Notify,
+}
+
+impl ClientState {
+    fn new(over: bool) -> ClientState {
+        let accepted = Instant::now();
+        ClientState {
+            accepted,
+            phase: Cell::new(Phase::Silent),
+            since: Cell::new(accepted),
+            closing: Cell::new(false),
+            surplus: Cell::new(0),
+            over,
+            wake: Notify::new(),
+        }
+    }
+
+    fn enter(&self, phase: Phase) {
+        // The first request is due from the accepting on: a client must not stay silent first, then slow.
+        let first = (self.phase.get(), phase) == (Phase::Silent, Phase::Reading);
+        self.since.set(if first { self.accepted } else { Instant::now() });
+        if self.surplus.replace(0) >= SURPLUS {
+            self.wake.notify_one();
+        }
+        self.closing.set(false);
+        self.phase.set(phase);
+    }
+
+    /// When the client has had its time.
+    fn due(&self, own: &Own) -> Option<Instant> {
+        let time = match self.phase.get() {
+            Phase::Silent | Phase::Reading => own.client_request,
+            Phase::InHand => return None,
+            Phase::Idle => own.client_idle,
+            Phase::Draining => DRAIN,
+        };
+        Some(self.since.get() + time)
+    }
+
+    fn close(&self) {
+        self.closing.set(true);
+        self.wake.notify_one();
+    }
+
+    /// How fit it is to make room for another: of the idle and of those without a whole request the oldest.
+    fn spare(&self, now: Instant) -> Option<(bool, Duration)> {
+        let age = now - self.since.get();
+        let spare = match self.phase.get() {
+            Phase::Idle => (age >= SPARE_IDLE).then_some((true, age)),
+            Phase::Silent | Phase::Reading => (age >= SPARE_SILENT).then_some((false, age)),
+            Phase::InHand | Phase::Draining => None,
+        };
+        spare.filter(|_| !self.closing.get())
+    }
+}
+
+/// The clients' connections.
+struct Clients {
+    own: Rc<Own>,
+    seats: RefCell<FxHashMap<u64, Rc<ClientState>>>,
+    next: Cell<u64>,
+}
+
+impl Clients {
+    /// A place for a new connection. At the bound another that serves nobody makes room for it, so that those
+    /// that connect and say nothing, or asked once and stay, keep nobody out.
+    fn seat(self: &Rc<Clients>, permit: OwnedSemaphorePermit) -> Seat {
+        let held = self.seats.borrow().values().filter(|state| !state.closing.get()).count();
+        let over = held >= self.own.client_connections && !self.make_room(Instant::now());
+        let state = Rc::new(ClientState::new(over));
+        let number = self.next.replace(self.next.get() + 1);
+        self.seats.borrow_mut().insert(number, state.clone());
+        Seat { clients: self.clone(), number, state, _permit: permit }
+    }
+
+    fn make_room(&self, now: Instant) -> bool {
+        let seats = self.seats.borrow();
+        let spare = seats.values().filter_map(|state| Some((state.spare(now)?, state)));
+        let spare = spare.max_by_key(|(fit, _)| *fit);
+        spare.inspect(|(_, state)| state.close()).is_some()
+    }
+}
+
+/// A connection's place among the clients'. Dropping it gives the place back.
+struct Seat {
+    clients: Rc<Clients>,
+    number: u64,
+    state: Rc<ClientState>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.clients.seats.borrow_mut().remove(&self.number);
+    }
 }
 
 /// A client's connection. Dropping it closes the socket and gives its place back.
 struct ClientIo {
     stream: TcpStream,
-    state: Rc<ClientState>,
+    seat: Seat,
     stage: watch::Receiver<Stage>,
-    _permit: OwnedSemaphorePermit,
 }
 
 impl AsyncRead for ClientIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
+        let state = &this.seat.state;
+        match state.phase.get() {
+            // Guards the processor: actix-http polls without end while it holds more than it may and a request
+            // is in hand. Once that is answered, `enter` has the connection polled again.
+            Phase::InHand if state.surplus.get() >= SURPLUS => return Poll::Pending,
+            Phase::Draining if state.surplus.get() >= SURPLUS => return Poll::Ready(Ok(())),
+            Phase::Silent | Phase::Reading | Phase::InHand | Phase::Idle | Phase::Draining => {}
+        }
         let before = buf.filled().len();
         let result = Pin::new(&mut this.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            this.state.idle.set(false);
+        let came = buf.filled().len() - before;
+        match state.phase.get() {
+            Phase::Silent | Phase::Idle if came > 0 => state.enter(Phase::Reading),
+            Phase::InHand | Phase::Draining => state.surplus.set(state.surplus.get() + came),
+            Phase::Silent | Phase::Idle | Phase::Reading => {}
         }
-        // An idle connection is closed only after its last byte was read: a request that crosses the
-        // shutdown is served, not lost.
-        let closing = *this.stage.borrow() == Stage::Closing && this.state.idle.get();
+        // A connection is closed only after its last byte was read: a request that crosses that is served,
+        // not lost.
+        let closing = match state.phase.get() {
+            Phase::Silent | Phase::Idle => state.closing.get() || *this.stage.borrow() == Stage::Closing,
+            Phase::Reading | Phase::Draining => state.closing.get(),
+            Phase::InHand => false,
+        };
         if result.is_pending() && closing { Poll::Ready(Ok(())) } else { result }
     }
 }
--- a/crates/sidecar/src/logger.rs
+++ b/crates/sidecar/src/logger.rs
@@ -12,6 +12,8 @@
 
 /// Crates whose warnings are of use; their finer levels are not.
 const OTHERS_LEVEL: LevelFilter = LevelFilter::Warn;
+/// Writes an error for each client that sends what can't be read; the front tells of those once a second.
+const SILENCED: &str = "actix_http";
 
 /// Starts logging of lines of this level and above.
 pub fn start(level: LevelFilter) {
@@ -22,7 +24,9 @@
 
 impl Log for Logger {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        metadata.target().starts_with("dunlincleat") || metadata.level() <= OTHERS_LEVEL
+        let target = metadata.target();
+        target.starts_with("dunlincleat")
+            || (metadata.level() <= OTHERS_LEVEL && !target.starts_with(SILENCED))
     }
 
     fn log(&self, record: &Record<'_>) {
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -60,8 +60,13 @@
 
 impl Request {
     /// Reads a request's head; the body is added by `with_body`.
-    pub fn decode(head: &RequestHead, site: &Site) -> Result<Request, Malformed> {
+    pub fn decode(head: &RequestHead, site: &Site, most: usize) -> Result<Request, Malformed> {
         let bad = |what| Malformed { status: StatusCode::BAD_REQUEST, what };
+        // Told from the head alone: a body that will not be read is not waited for either.
+        let length = text(&head.headers, &header::CONTENT_LENGTH).and_then(|l| l.parse::<u64>().ok());
+        if length.is_some_and(|length| length > most as u64) {
+            return Err(Cut::TooLong.into());
+        }
         let path = head.uri.path();
         let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
         let class = site.classes.iter().position(|c| c == name && !name.is_empty());
@@ -83,7 +88,11 @@
         let id = id.ok_or_else(|| bad("X-Request-ID is missing"))?;
         let wait = match text(&head.headers, &TIMEOUT) {
             None => settings.deadline,
-            Some(wait) => seconds(wait).ok_or_else(|| bad("X-Timeout is no number of seconds"))?,
+            // Nobody waits longer than the class allows over all tries: a huge one would hold its place for good.
+            Some(wait) => {
+                let wait = seconds(wait).ok_or_else(|| bad("X-Timeout is no number of seconds"))?;
+                wait.min(settings.deadline)
+            }
         };
         let tenant = text(&head.headers, &TENANT);
         let tenant = site.tenants.iter().position(|t| Some(t.as_str()) == tenant);
--- /dev/null
+++ b/crates/sidecar/tests/clients.rs
@@ -0,0 +1,267 @@
+//! Bad clients: what they send is turned away, they keep nobody out, and the others are served.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+/// Asks until a usual client is served: on the way there the bound may still be full.
+fn served(sidecar: &Sidecar) {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        let mut client = sidecar.connect();
+        client.send(&read("usual"));
+        if client.answer_or_end().is_some_and(|answer| answer.status() == 200) {
+            return;
+        }
+        assert!(Instant::now() < end, "a usual client is kept out");
+    }
+}
+
+#[test]
+fn a_copy_of_a_request_in_hand_is_turned_away_and_the_request_goes_on() {
+    let (gate, wait) = latch("once");
+    let server = Server::start(move |n, _| if n == 0 { wait.clone() } else { ok("again") });
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
+    let mut client = sidecar.connect();
+    client.send(&once("r1"));
+    server.requests.wait(1, "requests");
+    assert_eq!(sidecar.ask(&once("r1")).status(), 409);
+    assert_eq!(sidecar.ask(&read("r1")).status(), 409);
+    gate.send(()).unwrap();
+    assert_eq!(client.answer().text(), "once");
+    assert_eq!(server.count(), 1);
+    // Its name is free once it is answered.
+    assert_eq!(sidecar.ask(&once("r1")).text(), "again");
+}
+
+#[test]
+fn a_request_whose_length_is_in_doubt_hides_no_other() {
+    let server = Server::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
+    let head = "POST /once HTTP/1.1\r\nHost: x\r\nX-Request-ID: r1\r\n";
+    let hidden = read("hidden");
+    let chunked = "Transfer-Encoding: chunked\r\n";
+    for lengths in [
+        format!("Content-Length: 5\r\n{chunked}"),
+        format!("{chunked}Content-Length: 5\r\n"),
+        format!("Content-Length: 0\r\n{chunked}"),
+        "Content-Length: 5\r\nContent-Length: 6\r\n".to_owned(),
+        "Content-Length: 0\r\nContent-Length: 0\r\n".to_owned(),
+        "Content-Length: 0, 0\r\n".to_owned(),
+        "Content-Length: -5\r\n".to_owned(),
+        "Content-Length: +5\r\n".to_owned(),
+        "Content-Length: 5x\r\n".to_owned(),
+        "Content-Length: 99999999999999999999999\r\n".to_owned(),
+        "Content-Length: \r\n".to_owned(),
+        "Transfer-Encoding: chunked, chunked\r\n".to_owned(),
+        "Transfer-Encoding: gzip, chunked\r\n".to_owned(),
+        "Transfer-Encoding : chunked\r\n".to_owned(),
+        format!("{chunked}{chunked}"),
+    ] {
+        let mut client = sidecar.connect();
+        client.send(&format!("{head}{lengths}\r\n0\r\n\r\n{hidden}"));
+        assert!(client.answer_or_end().is_none_or(|answer| answer.status() == 400), "{lengths}");
+        client.ended();
+    }
+    served(&sidecar);
+    assert!(server.requests.all().iter().all(|(_, m)| m.header("x-request-id") == Some("usual")));
+}
+
+#[test]
+fn a_huge_body_is_turned_away_at_its_head_and_what_still_comes_is_not_read_for_long() {
+    let server = Server::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
+    let mut client = sidecar.connect();
+    client.send("POST /once HTTP/1.1\r\nHost: x\r\nX-Request-ID: r1\r\nContent-Length: 60000000\r\n\r\n");
+    let answer = client.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (413, Some("close")));
+    // Far more than any buffer holds: the program must take it or close.
+    let mut stream = client.stream.try_clone().unwrap();
+    stream.set_write_timeout(Some(PATIENCE)).unwrap();
+    let part = vec![b'x'; 1 << 20];
+    let taken = (0..60).take_while(|_| stream.write_all(&part).is_ok()).count();
+    assert!(taken < 60, "all of it was taken");
+    client.ended();
+    served(&sidecar);
+}
+
+#[test]
+fn clients_that_send_no_whole_request_are_closed() {
+    let server = Server::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")])
+        .set("/sidecar/client_request_ms", json!(300))
+        .start();
+    let halves = [
+        "",
+        "GET /read HTT",
+        "GET /read HTTP/1.1\r\nHost: x\r\nX-Request-ID: r\r\n",
+        "POST /once HTTP/1.1\r\nHost: x\r\nX-Request-ID: r\r\nContent-Length: 9\r\n\r\nhalf",
+        "POST /once HTTP/1.1\r\nHost: x\r\nX-Request-ID: r\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    ];
+    let mut clients: Vec<Client> = halves
+        .iter()
+        .map(|half| {
+            let mut client = sidecar.connect();
+            client.send(half);
+            client
+        })
+        .collect();
+    // After a whole request the next one has its time as well.
+    let mut second = sidecar.connect();
+    second.send(&read("r1"));
+    assert_eq!(second.answer().status(), 200);
+    second.send("GET /re");
+    clients.push(second);
+    for client in &mut clients {
+        assert!(client.answer_or_end().is_none_or(|answer| answer.status() == 400));
+    }
+    assert_eq!(server.count(), 1);
+}
+
+#[test]
+fn a_request_in_hand_is_not_ended_by_the_times_of_a_client() {
+    let (gate, wait) = latch("slow");
+    let server = Server::start(move |_, _| wait.clone());
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")])
+        .set("/sidecar/client_request_ms", json!(100))
+        .set("/settings/classes/1/aim", json!(60_000_000))
+        .set("/settings/classes/1/deadline", json!(60_000_000))
+        .start();
+    let mut client = sidecar.connect();
+    client.send(&once("r1").replace("X-Timeout: 0.9", "X-Timeout: 60"));
+    server.requests.wait(1, "requests");
+    // By the time this one is closed, the first has outlasted that time as well.
+    let mut silent = sidecar.connect();
+    silent.ended();
+    gate.send(()).unwrap();
+    assert_eq!(client.answer().text(), "slow");
+}
+
+#[test]
+fn an_idle_client_is_closed_but_not_before_two_seconds() {
+    let server = Server::start(|_, _| ok("x"));
+    let setup = Setup::new(vec![entry("s1", server.address, "up")]);
+    let sidecar = setup.set("/sidecar/client_idle_ms", json!(2000)).start();
+    let mut client = sidecar.connect();
+    client.send(&read("r1"));
+    assert_eq!(client.answer().status(), 200);
+    let answered = Instant::now();
+    client.ended();
+    assert!(answered.elapsed() >= Duration::from_millis(1990), "closed after {:?}", answered.elapsed());
+}
+
+#[test]
+fn those_that_connect_and_say_nothing_keep_nobody_out() {
+    let server = Server::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")])
+        .set("/sidecar/client_connections", json!(4))
+        // Their own time would not end them while this test waits.
+        .set("/sidecar/client_request_ms", json!(600_000))
+        .start();
+    let silent: Vec<Client> = (0..60).map(|_| sidecar.connect()).collect();
+    served(&sidecar);
+    drop(silent);
+}
+
+#[test]
+fn those_that_asked_once_and_stay_keep_nobody_out() {
+    let server = Server::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")])
+        .set("/sidecar/client_connections", json!(4))
+        .set("/sidecar/client_idle_ms", json!(600_000))
+        .start();
+    let mut stay = Vec::new();
+    for n in 0..30 {
+        let mut client = sidecar.connect();
+        client.send(&read(&format!("r{n}")));
+        let end = client.answer_or_end().is_none_or(|answer| answer.status() == 503);
+        stay.push((client, end));
+    }
+    served(&sidecar);
+}
+
+#[test]
+fn a_flood_on_one_connection_costs_the_others_nothing() {
+    let server = Server::start(|n, _| if n == 0 { Act::Hang } else { ok("x") });
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up"), entry("s2", server.address, "up")])
+        .set("/settings/limits/try_limit", json!(1))
+        .start();
+    let mut flood = sidecar.connect();
+    let many: String = (0..4000).map(|n| read(&format!("r{n}"))).collect();
+    let mut stream = flood.stream.try_clone().unwrap();
+    let writer = std::thread::spawn(move || {
+        let _ = stream.write_all(many.as_bytes());
+    });
+    server.requests.wait(1, "requests");
+    served(&sidecar);
+    // While its first request is in hand the rest waits, unread beyond a bound; it was once polled without end.
+    let (start, used) = (Instant::now(), sidecar.processor_time());
+    assert!(matches!(flood.answer().status(), 502 | 503), "the first ends at its deadline");
+    let (took, used) = (start.elapsed(), sidecar.processor_time() - used);
+    assert!(took > Duration::from_millis(500) && used < took / 2, "{used:?} of {took:?}");
+    // The rest is answered in its turn.
+    for n in 1..100 {
+        assert!(matches!(flood.answer().status(), 200 | 503), "request {n}");
+    }
+    drop(flood);
+    writer.join().unwrap();
+    served(&sidecar);
+}
+
+#[test]
+fn hundreds_of_bad_requests_at_once_are_turned_away() {
+    let server = Server::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
+    let mut flood = sidecar.connect();
+    flood.send(&"GET /nowhere HTTP/1.1\r\nHost: x\r\nX-Request-ID: r\r\n\r\n".repeat(700));
+    let answer = flood.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (404, Some("close")));
+    served(&sidecar);
+}
+
+#[test]
+fn odd_figures_are_turned_away_or_bounded() {
+    let server = Server::start(|_, m| if m.target() == "/read/hang" { Act::Hang } else { ok("x") });
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
+    let with = |name: &str, value: &str| read("r1").replace("X-Tenant-Id: acme", &format!("{name}: {value}"));
+    for wait in ["NaN", "-0.1", "inf", "-inf", "1e999", "", "soon", "0x10"] {
+        let request = with("X-Cost", "1").replace("X-Timeout: 0.9", &format!("X-Timeout: {wait}"));
+        assert_eq!(sidecar.ask(&request).status(), 400, "X-Timeout: {wait}");
+    }
+    for cost in ["NaN", "-5", "inf", "-1e308", "many"] {
+        assert_eq!(sidecar.ask(&with("X-Cost", cost)).status(), 200, "X-Cost: {cost}");
+    }
+    assert_eq!(sidecar.ask(&with("X-Cost", "1e308")).status(), 503, "work that nobody can end in time");
+    for tenant in ["nobody", "-1", "99999999999", "\u{e9}"] {
+        assert_eq!(sidecar.ask(&with("X-Tenant-Id", tenant)).status(), 200, "X-Tenant-Id: {tenant}");
+    }
+    // However long it says it waits: the class allows one second over all tries.
+    let long =
+        with("X-Cost", "1").replace("X-Timeout: 0.9", "X-Timeout: 1e300").replace("/read", "/read/hang");
+    let start = Instant::now();
+    assert_eq!(sidecar.ask(&long).status(), 503);
+    assert!(start.elapsed() < PATIENCE / 2);
+}
+
+#[test]
+fn connections_of_bad_clients_are_given_back() {
+    let server = Server::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
+    served(&sidecar);
+    for _ in 0..50 {
+        for bad in ["no HTTP\r\n\r\n", "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", "GET /re", ""] {
+            let mut client = sidecar.connect();
+            client.send(bad);
+            if bad.ends_with('\n') {
+                client.answer_or_end();
+            }
+        }
+    }
+    let end = Instant::now() + PATIENCE;
+    while sidecar.descriptors() > 30 {
+        assert!(Instant::now() < end, "{} descriptors are held", sidecar.descriptors());
+    }
+}
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -478,6 +478,20 @@
         (status, self.log.all().join("\n"))
     }
 
+    /// The processor time that the program has used.
+    pub fn processor_time(&self) -> Duration {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap().split(' ').collect();
+        // In hundredths of a second, the unit of Linux's user interface.
+        let ticks = fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap();
+        Duration::from_millis(ticks * 10)
+    }
+
+    /// The descriptors that the program holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     /// Waits for a line of the log that holds this.
     pub fn logged(&self, what: &str) {
         let end = Instant::now() + PATIENCE;
@@ -524,6 +538,15 @@
         read_message(&mut self.input).unwrap().expect("the connection ended without an answer")
     }
 
+    /// Waits for an answer or the end of the connection.
+    pub fn answer_or_end(&mut self) -> Option<Message> {
+        match read_message(&mut self.input) {
+            Ok(message) => message,
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => None,
+            Err(error) => panic!("neither an answer nor an end: {error}"),
+        }
+    }
+
     /// Waits until the other side ends the connection; no byte may come before.
     pub fn ended(&mut self) {
         let mut rest = Vec::new();
