Frame answers before awc reads them: spoilt ones end at once, strays reach nobody

From the source of awc 3.11: a 1xx answer is the final one for it, a length is waited for whatever it says (3 GB to the deadline), and bytes behind an answer go with its buffer, so that what comes later is read as the next request's answer. Ruled out: awc's own look at idle connections (pool.rs) finds only what is still in the socket. At fault: peer.rs trusted awc with all three, took every unreadable answer for a broken connection, which has its server left out, and kept idle connections to a machine of which nothing was heard.

frame.rs frames what a connection brings (httparse), line.rs is the thin I/O under awc, split from peer.rs. A spoilt answer is an error: the server lives and may have run it. A line is used again only if its answer came to its end, nothing followed and the kernel holds nothing. A load report with a figure that can't be true is none.

--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -68,6 +68,8 @@
     pub connect: Duration,
     /// How long a probe may take.
     pub probe: Duration,
+    /// How long an answer that began may stand still.
+    pub answer_stall: Duration,
     /// How long connections are still accepted after SIGTERM.
     pub accept_after_term: Duration,
     /// How long after SIGTERM the process ends at the latest.
@@ -225,6 +227,8 @@
             connect: millis("connect_ms", connect, 1)?,
             // A probe that takes a quarter of the tightest aim tells nothing that is of use any more.
             probe: millis("probe_ms", connect.min(aim / 4).max(1), 1)?,
+            // An answer is written in one go: one that stops for longer will not come in time.
+            answer_stall: millis("answer_stall_ms", (aim / 4).max(1), 1)?,
             accept_after_term: millis("accept_after_term_ms", 600, 0)?,
             end_after_term: millis("end_after_term_ms", longest + 600, 1)?,
             watch_again: (millis("watch_again_ms", 50, 1)?, millis("watch_again_most_ms", 2000, 1)?),
--- /dev/null
+++ b/crates/sidecar/src/frame.rs
@@ -0,0 +1,313 @@
+//! Where a server's answer begins and ends. awc reads answers, but it takes a 1xx answer for the final one,
+//! waits for whatever length it is told, and drops bytes that come behind an answer with its buffer. So what a
+//! connection brings is framed here first: awc sees one final answer within the bound, or an error.
+
+use bytes::{Buf, BytesMut};
+use httparse::Status::{Complete, Partial};
+
+/// The longest head of an answer, and of a chunk with its trailers.
+const HEAD_BYTES: usize = 16 * 1024;
+/// The most headers of an answer.
+const HEADERS: usize = 64;
+/// The most 1xx answers ahead of the final one.
+const HINTS: usize = 16;
+
+/// Why an answer is of no use. The request has run, or may have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spoilt(pub &'static str);
+
+impl std::fmt::Display for Spoilt {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl std::error::Error for Spoilt {}
+
+/// What is due next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    Head,
+    /// So many bytes of a body, then its end.
+    Body(usize),
+    /// The size of a chunk.
+    Size,
+    /// So many bytes of a chunk, then the line end behind it.
+    Chunk(usize),
+    ChunkEnd,
+    Trailers,
+    Nothing,
+}
+
+/// Frames the answers of one connection, one answer a request.
+#[derive(Debug)]
+pub struct Frame {
+    /// The largest body.
+    most: usize,
+    next: Next,
+    hints: usize,
+    body: usize,
+    /// What came and is not framed yet.
+    held: BytesMut,
+    /// What awc may read.
+    ready: BytesMut,
+}
+
+impl Frame {
+    /// A connection whose answers have bodies of at most so many bytes.
+    pub fn new(most: usize) -> Frame {
+        let (held, ready) = (BytesMut::new(), BytesMut::new());
+        Frame { most, next: Next::Nothing, hints: 0, body: 0, held, ready }
+    }
+
+    /// A request goes out: its answer is due.
+    pub fn expect(&mut self) {
+        (self.next, self.hints, self.body) = (Next::Head, 0, 0);
+    }
+
+    /// The answer has come to its end.
+    pub fn whole(&self) -> bool {
+        self.next == Next::Nothing
+    }
+
+    /// The final answer has begun and not come to its end.
+    pub fn begun(&self) -> bool {
+        match self.next {
+            Next::Head => !self.held.is_empty(),
+            Next::Body(_) | Next::Size | Next::Chunk(_) | Next::ChunkEnd | Next::Trailers => true,
+            Next::Nothing => false,
+        }
+    }
+
+    /// Bytes came that belong to no answer.
+    pub fn stray(&self) -> bool {
+        self.whole() && !self.held.is_empty()
+    }
+
+    /// Where bytes from the connection go.
+    pub fn room(&mut self) -> &mut BytesMut {
+        self.held.reserve(4096);
+        &mut self.held
+    }
+
+    /// What awc may read.
+    pub fn ready(&mut self) -> &mut BytesMut {
+        &mut self.ready
+    }
+
+    /// Takes in what has come.
+    pub fn advance(&mut self) -> Result<(), Spoilt> {
+        loop {
+            let next = match self.next {
+                Next::Head => self.head()?,
+                Next::Body(0) => Some(Next::Nothing),
+                Next::Body(left) => self.pass(left).map(Next::Body),
+                Next::Size => self.size()?,
+                Next::Chunk(0) => Some(Next::ChunkEnd),
+                Next::Chunk(left) => self.pass(left).map(Next::Chunk),
+                Next::ChunkEnd => self.chunk_end()?,
+                Next::Trailers => self.trailers()?,
+                Next::Nothing => None,
+            };
+            match next {
+                Some(next) => self.next = next,
+                None => return Ok(()),
+            }
+        }
+    }
+
+    /// Hands on up to so many bytes; tells how many are left, or nothing where none came.
+    fn pass(&mut self, left: usize) -> Option<usize> {
+        let come = left.min(self.held.len());
+        self.ready.extend_from_slice(&self.held[..come]);
+        self.held.advance(come);
+        (come > 0).then_some(left - come)
+    }
+
+    fn pass_all(&mut self, count: usize) {
+        self.pass(count);
+    }
+
+    fn partial(&self, what: &'static str) -> Result<Option<Next>, Spoilt> {
+        if self.held.len() > HEAD_BYTES { Err(Spoilt(what)) } else { Ok(None) }
+    }
+
+    fn head(&mut self) -> Result<Option<Next>, Spoilt> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+        let mut answer = httparse::Response::new(&mut headers);
+        let length = match answer.parse(&self.held) {
+            Ok(Complete(length)) => length,
+            Ok(Partial) => return self.partial("its head does not end"),
+            Err(_) => return Err(Spoilt("its head can't be read")),
+        };
+        let status = answer.code.unwrap_or_default();
+        if (100..200).contains(&status) {
+            self.hints += 1;
+            if status == 101 || self.hints > HINTS {
+                return Err(Spoilt("its status is none that was asked for"));
+            }
+            self.held.advance(length);
+            return Ok(Some(Next::Head));
+        }
+        let next = body(answer.headers, status)?;
+        if matches!(next, Next::Body(length) if length > self.most) {
+            return Err(Spoilt("its body is too long"));
+        }
+        self.pass_all(length);
+        Ok(Some(next))
+    }
+
+    fn size(&mut self) -> Result<Option<Next>, Spoilt> {
+        let (line, size) = match httparse::parse_chunk_size(&self.held) {
+            Ok(Complete(found)) => found,
+            Ok(Partial) => return self.partial("the size of a chunk does not end"),
+            Err(_) => return Err(Spoilt("the size of a chunk can't be read")),
+        };
+        let size = usize::try_from(size).unwrap_or(usize::MAX);
+        self.body = self.body.saturating_add(size);
+        if self.body > self.most {
+            return Err(Spoilt("its body is too long"));
+        }
+        self.pass_all(line);
+        Ok(Some(if size == 0 { Next::Trailers } else { Next::Chunk(size) }))
+    }
+
+    fn chunk_end(&mut self) -> Result<Option<Next>, Spoilt> {
+        if self.held.len() < 2 {
+            return Ok(None);
+        }
+        if !self.held.starts_with(b"\r\n") {
+            return Err(Spoilt("a chunk does not end where it should"));
+        }
+        self.pass_all(2);
+        Ok(Some(Next::Size))
+    }
+
+    fn trailers(&mut self) -> Result<Option<Next>, Spoilt> {
+        let length = match httparse::parse_headers(&self.held, &mut [httparse::EMPTY_HEADER; HEADERS]) {
+            Ok(Complete((length, _))) => length,
+            Ok(Partial) => return self.partial("its trailers do not end"),
+            Err(_) => return Err(Spoilt("its trailers can't be read")),
+        };
+        // They are of no use here, and awc knows of none.
+        self.held.advance(length);
+        self.ready.extend_from_slice(b"\r\n");
+        Ok(Some(Next::Nothing))
+    }
+}
+
+/// What body follows a head. A length must be told, once, in digits: an answer that lasts until its connection
+/// ends cannot be told from half of one.
+fn body(headers: &[httparse::Header<'_>], status: u16) -> Result<Next, Spoilt> {
+    let named = |name: &'static str| headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name));
+    let mut codings = named("transfer-encoding");
+    let mut lengths = named("content-length");
+    match (codings.next(), codings.next(), lengths.next(), lengths.next()) {
+        (Some(coding), None, None, None) if coding.value.eq_ignore_ascii_case(b"chunked") => Ok(Next::Size),
+        (None, None, Some(length), None) if length.value.iter().all(u8::is_ascii_digit) => {
+            let length = std::str::from_utf8(length.value).ok().and_then(|l| l.parse().ok());
+            length.map(Next::Body).ok_or(Spoilt("its length can't be read"))
+        }
+        (None, None, None, None) if matches!(status, 204 | 304) => Ok(Next::Nothing),
+        _ => Err(Spoilt("its length is in doubt")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Frames an answer that comes in pieces of so many bytes; gives what awc would read.
+    fn read(answer: &str, piece: usize) -> (Result<String, Spoilt>, Frame) {
+        let mut frame = Frame::new(100);
+        frame.expect();
+        for bytes in answer.as_bytes().chunks(piece) {
+            frame.room().extend_from_slice(bytes);
+            if let Err(spoilt) = frame.advance() {
+                return (Err(spoilt), frame);
+            }
+        }
+        let read = String::from_utf8_lossy(&frame.ready().split()).into_owned();
+        (Ok(read), frame)
+    }
+
+    #[test]
+    fn one_final_answer_passes_unchanged_in_whatever_pieces() {
+        for answer in [
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 204 X\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n4\r\nhalf\r\n01;x=y\r\n!\r\n0\r\n\r\n",
+        ] {
+            for piece in [1, 7, 1000] {
+                let (read, frame) = read(answer, piece);
+                assert_eq!(read.as_deref(), Ok(answer));
+                assert!(frame.whole() && !frame.stray(), "{answer}");
+            }
+        }
+    }
+
+    #[test]
+    fn answers_ahead_are_passed_over() {
+        let hints = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n";
+        let answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+        for piece in [1, 1000] {
+            assert_eq!(read(&format!("{hints}{answer}"), piece).0.as_deref(), Ok(answer));
+        }
+        assert!(read(&format!("{}{answer}", hints.repeat(20)), 1000).0.is_err(), "not without end");
+        assert!(read("HTTP/1.1 101 Switching Protocols\r\n\r\n", 1000).0.is_err());
+    }
+
+    #[test]
+    fn bytes_behind_an_answer_are_seen_and_not_passed_on() {
+        let answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+        for behind in [answer, "\r\n", "\0"] {
+            for piece in [1, 1000] {
+                let (read, frame) = read(&format!("{answer}{behind}"), piece);
+                assert_eq!(read.as_deref(), Ok(answer));
+                assert!(frame.whole() && frame.stray());
+            }
+        }
+    }
+
+    #[test]
+    fn what_is_no_whole_answer_is_not_taken_for_one() {
+        for half in ["HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhell", "HTTP/1.1 200 OK\r\nContent-Le", ""]
+        {
+            let (read, frame) = read(half, 1000);
+            assert!(read.is_ok() && !frame.whole(), "{half}");
+        }
+    }
+
+    #[test]
+    fn odd_answers_are_spoilt_before_their_bodies_are_read() {
+        let head = |lines: &str| format!("HTTP/1.1 200 OK\r\n{lines}\r\n\r\n");
+        let chunked = "Transfer-Encoding: chunked";
+        for answer in [
+            "\0\x01\x02noise noise\r\n\r\n".to_owned(),
+            "HTTP/1.1 2x0 OK\r\n\r\n".to_owned(),
+            "HTTP/1.1 200 OK\r\nno colon\r\n\r\n".to_owned(),
+            format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(HEAD_BYTES)),
+            head("X: no length"),
+            head("Content-Length: 3000000000"),
+            head("Content-Length: 101"),
+            head("Content-Length: -1"),
+            head("Content-Length: +1"),
+            head("Content-Length: 1x"),
+            head("Content-Length: "),
+            head("Content-Length: 99999999999999999999999999"),
+            head("Content-Length: 1\r\nContent-Length: 1"),
+            head(&format!("Content-Length: 1\r\n{chunked}")),
+            head(&format!("{chunked}\r\n{chunked}")),
+            head("Transfer-Encoding: gzip, chunked"),
+            head(chunked) + "zz\r\n",
+            head(chunked) + "ffffffffffffffffff\r\n",
+            head(chunked) + "65\r\n",
+            head(chunked) + "1\r\nxyz",
+            head(chunked) + "1\r\nx\r\n64\r\n",
+            head(chunked) + &"1;".repeat(HEAD_BYTES),
+        ] {
+            assert!(read(&answer, 5).0.is_err(), "{answer:.80}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/line.rs
@@ -0,0 +1,312 @@
+//! A connection to a server: the thin I/O under awc, which does what awc can't. It keeps to the bound on
+//! descriptors and to a drain's grace, counts what was written, and frames what is read.
+
+use crate::config::Own;
+use crate::frame::{Frame, Spoilt};
+use crate::logger::Seldom;
+use crate::message::authority;
+use crate::peer::Common;
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_service::Service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use awc::http::Uri;
+use dunlincleat::api::Status;
+use futures_util::future::LocalBoxFuture;
+use std::cell::{Cell, RefCell};
+use std::future::{Future, poll_fn};
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, Sleep, sleep_until};
+
+/// Why nothing was sent, for a reason that lies here and not with the server.
+#[derive(Debug)]
+pub struct Unsent(pub &'static str);
+
+impl std::fmt::Display for Unsent {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl std::error::Error for Unsent {}
+
+/// When sends to a server must have ended, as it leaves.
+#[derive(Default)]
+pub struct Gate {
+    /// None while the server stays.
+    pub closes: Cell<Option<Instant>>,
+}
+
+/// What is seen of a connection from outside awc, which owns it.
+#[derive(Default)]
+pub struct Wire {
+    stream: RefCell<Weak<TcpStream>>,
+    /// Bytes of the present request that the kernel took.
+    sent: Cell<usize>,
+    /// The answer came to its end.
+    whole: Cell<bool>,
+    /// Why it is of no use.
+    spoilt: Cell<Option<Spoilt>>,
+    /// Bytes came that belong to no answer: what comes next could be read as another request's answer.
+    stray: Cell<bool>,
+}
+
+impl Wire {
+    /// Begins a new request.
+    pub fn begin(&self) {
+        self.sent.set(0);
+        self.whole.set(false);
+        self.spoilt.set(None);
+    }
+
+    /// The answer came to its end.
+    pub fn whole(&self) -> bool {
+        self.whole.get()
+    }
+
+    /// Why the answer is of no use.
+    pub fn spoilt(&self) -> Option<Spoilt> {
+        self.spoilt.get()
+    }
+
+    /// Whether another request may be sent on it: it is open, and nothing waits to be read. The kernel is asked,
+    /// as what came a moment ago has not been told yet.
+    pub fn fit(&self) -> bool {
+        let Some(stream) = self.stream.borrow().upgrade() else { return false };
+        let nothing = socket2::SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
+        !self.stray.get() && nothing.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Whether an idle connection has ended, or is of no use any more: nothing is due to come on it.
+    fn ended(&self, cx: &mut Context<'_>) -> bool {
+        let Some(stream) = self.stream.borrow().upgrade() else { return true };
+        while stream.poll_read_ready(cx).is_ready() {
+            match stream.try_read(&mut [0]) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(_) | Err(_) => return true,
+            }
+        }
+        false
+    }
+
+    /// This status where anything was sent, else the one that says that nothing can have run.
+    pub fn unless_sent(&self, status: Status) -> Status {
+        if self.sent.get() == 0 { Status::ConnectFailed } else { status }
+    }
+}
+
+/// Waits until one of the idle connections has ended, and tells its place. A server that closes one gets its
+/// end at once, and nothing is written to it any more.
+pub async fn ended_idle(idle: &[Line]) -> usize {
+    poll_fn(|cx| {
+        let ended = idle.iter().position(|line| line.wire.ended(cx));
+        ended.map_or(Poll::Pending, Poll::Ready)
+    })
+    .await
+}
+
+/// A connection to the server, or one to be opened.
+pub struct Line {
+    /// Its awc client.
+    pub client: awc::Client,
+    /// What is seen of it.
+    pub wire: Rc<Wire>,
+    /// Since when it stands idle.
+    pub since: Instant,
+}
+
+impl Line {
+    /// One to be opened when it is first sent on.
+    pub fn new(common: &Common, gate: Rc<Gate>) -> Line {
+        let wire = Rc::new(Wire::default());
+        let (sockets, full) = (common.sockets.clone(), common.full.clone());
+        let dial = Dial { sockets, full, gate, wire: wire.clone(), own: common.own.clone() };
+        // Lifetimes and limits are kept here, so awc's own must never act.
+        let never = Duration::from_secs(1 << 30);
+        let connector = awc::Connector::new()
+            .connector(dial)
+            .timeout(common.own.connect)
+            .conn_keep_alive(never)
+            .conn_lifetime(never)
+            .limit(0);
+        let client = awc::Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        Line { client, wire, since: Instant::now() }
+    }
+}
+
+/// Opens connections within the bound on descriptors.
+#[derive(Clone)]
+struct Dial {
+    sockets: Arc<Semaphore>,
+    full: Rc<Seldom>,
+    gate: Rc<Gate>,
+    wire: Rc<Wire>,
+    own: Rc<Own>,
+}
+
+impl Service<ConnectInfo<Uri>> for Dial {
+    type Response = Connection<Uri, ServerIo>;
+    type Error = ConnectError;
+    type Future = LocalBoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    actix_service::always_ready!();
+
+    fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
+        let dial = self.clone();
+        Box::pin(async move {
+            let uri = info.request().clone();
+            let endpoint = authority(&uri).ok_or(ConnectError::Unresolved)?;
+            let permit = dial.sockets.try_acquire_owned().map_err(|_| {
+                let line = format!("no connection to {endpoint}: the bound on server connections is reached");
+                dial.full.say(module_path!(), log::Level::Warn, line);
+                ConnectError::Io(io::Error::other(Unsent("the bound on server connections is reached")))
+            })?;
+            let stream = TcpStream::connect(endpoint).await.map_err(ConnectError::Io)?;
+            stream.set_nodelay(true).map_err(ConnectError::Io)?;
+            let stream = Rc::new(stream);
+            *dial.wire.stream.borrow_mut() = Rc::downgrade(&stream);
+            let frame = Frame::new(dial.own.body_bytes);
+            let io = ServerIo {
+                stream,
+                frame,
+                heard: Instant::now(),
+                timer: None,
+                stall: dial.own.answer_stall,
+                gate: dial.gate,
+                wire: dial.wire,
+                _permit: permit,
+            };
+            Ok(Connection::new(uri, io))
+        })
+    }
+}
+
+/// A connection to a server. Dropping it closes the socket and gives its descriptor back.
+struct ServerIo {
+    stream: Rc<TcpStream>,
+    frame: Frame,
+    /// When the last byte of the answer came, and the timer for the next where it comes in pieces.
+    heard: Instant,
+    timer: Option<Pin<Box<Sleep>>>,
+    stall: Duration,
+    gate: Rc<Gate>,
+    wire: Rc<Wire>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl std::fmt::Debug for ServerIo {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.stream.fmt(f)
+    }
+}
+
+impl ServerIo {
+    fn spoil(&self, spoilt: Spoilt) -> Poll<io::Result<()>> {
+        self.wire.spoilt.set(Some(spoilt));
+        Poll::Ready(Err(io::Error::other(spoilt)))
+    }
+
+    /// An answer that began and does not go on is of no use: waited for to its deadline, it kept a request that
+    /// may be repeated until it was too late for that.
+    fn stalled(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if !self.frame.begun() {
+            return Poll::Pending;
+        }
+        let due = self.heard + self.stall;
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(due)));
+        if timer.deadline() != due {
+            timer.as_mut().reset(due);
+        }
+        ready!(timer.as_mut().poll(cx));
+        self.spoil(Spoilt("it began and does not go on"))
+    }
+}
+
+impl AsyncRead for ServerIo {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        loop {
+            let ready = this.frame.ready();
+            if !ready.is_empty() {
+                let part = ready.split_to(ready.len().min(buf.remaining()));
+                buf.put_slice(&part);
+                return Poll::Ready(Ok(()));
+            }
+            // awc drops an idle connection that fails when it looks whether anything came on it.
+            if this.frame.stray() {
+                return Poll::Ready(Err(io::Error::other(Unsent("bytes came that belong to no answer"))));
+            }
+            match this.stream.poll_read_ready(cx) {
+                Poll::Ready(ready) => ready?,
+                Poll::Pending => return this.stalled(cx),
+            };
+            match this.stream.try_read_buf(this.frame.room()) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok(0) => return Poll::Ready(Ok(())),
+                Ok(_) => this.heard = Instant::now(),
+            }
+            if let Err(spoilt) = this.frame.advance() {
+                return this.spoil(spoilt);
+            }
+            this.wire.whole.set(this.frame.whole());
+            if this.frame.stray() {
+                this.wire.stray.set(true);
+            }
+        }
+    }
+}
+
+impl AsyncWrite for ServerIo {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.wire.sent.get() == 0 {
+            self.frame.expect();
+        }
+        // Guards the drain: an attempt that waited for its connection must not begin after the grace.
+        if self.wire.sent.get() == 0 && self.gate.closes.get().is_some_and(|at| Instant::now() >= at) {
+            return Poll::Ready(Err(io::Error::other(Unsent("the server leaves and its grace is over"))));
+        }
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok(n) => {
+                    self.wire.sent.set(self.wire.sent.get() + n);
+                    return Poll::Ready(Ok(n));
+                }
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    /// The socket is closed when it is dropped, which comes next.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl ActixStream for ServerIo {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&*self.stream, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&*self.stream, cx)
+    }
+}
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -5,7 +5,9 @@
 #![forbid(unsafe_code)]
 
 mod config;
+mod frame;
 mod front;
+mod line;
 mod list;
 mod logger;
 mod message;
@@ -61,6 +63,7 @@
         grace: site.drain_grace.map_or(Duration::ZERO, |Span(us)| Duration::from_micros(us)),
         sockets: Arc::new(Semaphore::new(own.server_connections)),
         full: Rc::default(),
+        spoilt: Rc::default(),
         module: handle.clone(),
     };
     let module = module::Module::new(site.clone(), config.seed, peers, list.clone());
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -238,12 +238,17 @@
     }
 }
 
-/// Reads a load report; a figure that lacks becomes no number, and a report without any of them is none.
+/// No server has this much of anything that a load report counts.
+const LOAD_MOST: f64 = 1e9;
+
+/// Reads a load report; a figure that lacks becomes no number. A report without any of them is none, and so is one
+/// with a figure that can't be true: a load under nothing would draw every request there.
 fn load(json: &[u8], fields: &[String]) -> Vec<f64> {
     let Ok(Value::Object(report)) = serde_json::from_slice(json) else { return Vec::new() };
     let figure = |name: &String| report.get(name).and_then(Value::as_f64).unwrap_or(f64::NAN);
     let load: Vec<f64> = fields.iter().map(figure).collect();
-    if load.iter().all(|v| v.is_nan()) { Vec::new() } else { load }
+    let readable = load.iter().all(|v| v.is_nan() || (0.0..=LOAD_MOST).contains(v));
+    if readable && load.iter().any(|v| !v.is_nan()) { load } else { Vec::new() }
 }
 
 /// Why a body did not come whole.
@@ -421,7 +426,9 @@
         assert_eq!(load(br#"{"util":0.5,"queue":2,"inflight":7,"new":"x"}"#, &fields()), [7.0, 2.0, 0.5]);
         let partial = load(br#"{"queue":2,"inflight":"many"}"#, &fields());
         assert!(partial[0].is_nan() && partial[1] == 2.0 && partial[2].is_nan());
-        for none in ["", "{}", "[1]", "not JSON", r#"{"new":1}"#] {
+        for none in
+            ["", "{}", "[1]", "not JSON", r#"{"new":1}"#, r#"{"queue":-1}"#, r#"{"util":0.5,"queue":1e300}"#]
+        {
             assert!(load(none.as_bytes(), &fields()).is_empty(), "{none}");
         }
     }
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -5,32 +5,24 @@
 //! own pool kept would stand idle until the next request, however old.
 
 use crate::config::Own;
+use crate::line::{Gate, Line, Unsent, Wire, ended_idle};
 use crate::logger::Seldom;
-use crate::message::{Cut, Reply, Request, authority, probe_uri, read_body};
+use crate::message::{Cut, Reply, Request, probe_uri, read_body};
 use crate::module;
 use actix_http::header;
-use actix_rt::net::{ActixStream, Ready, TcpStream};
-use actix_service::Service;
-use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
 use awc::error::SendRequestError;
-use awc::http::Uri;
 use bytes::Bytes;
 use dunlincleat::api::{Attempt, RequestId, ServerId, State, Status};
 use futures_util::StreamExt;
 use futures_util::future::{AbortHandle, Abortable, Aborted, LocalBoxFuture};
 use futures_util::stream::FuturesUnordered;
 use rustc_hash::FxHashMap;
-use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// What a server's actor is told.
@@ -102,6 +94,8 @@
     pub sockets: Arc<Semaphore>,
     /// The line of the log for attempts that found no place among those.
     pub full: Rc<Seldom>,
+    /// The line of the log for answers that are of no use.
+    pub spoilt: Rc<Seldom>,
     /// The module's mailbox.
     pub module: module::Handle,
 }
@@ -121,6 +115,7 @@
         boot_ms,
         common,
         gate,
+        heard: Instant::now(),
         idle: Vec::new(),
         out: FuturesUnordered::new(),
         aborts: FxHashMap::default(),
@@ -138,6 +133,7 @@
 
 struct Done {
     what: What,
+    started: Instant,
     ended: Ended,
     line: Option<Line>,
 }
@@ -154,6 +150,8 @@
     boot_ms: u64,
     common: Common,
     gate: Rc<Gate>,
+    /// When it last sent anything.
+    heard: Instant,
     /// Idle connections, the last used at the end.
     idle: Vec<Line>,
     out: FuturesUnordered<Job>,
@@ -196,7 +194,7 @@
                         Err(Aborted) => (Ended::unsent(wire.unless_sent(Status::Cancelled)), None),
                     };
                     ended.latency = started.elapsed();
-                    Done { what: What::Attempt(id, attempt), ended, line }
+                    Done { what: What::Attempt(id, attempt), started, ended, line }
                 }));
             }
             Msg::Cancel { id, attempt } => {
@@ -211,7 +209,7 @@
                 self.out.push(Box::pin(async move {
                     let (mut ended, line) = probe(line, endpoint, &common).await;
                     ended.latency = started.elapsed();
-                    Done { what: What::Probe, ended, line }
+                    Done { what: What::Probe, started, ended, line }
                 }));
             }
             Msg::Listed { endpoint, state, boot_ms } => {
@@ -240,10 +238,19 @@
     }
 
     fn done(&mut self, done: Done) {
-        if let Some(mut line) = done.line.filter(|line| line.wire.open()) {
+        if let Some(mut line) = done.line.filter(|line| line.wire.fit()) {
             line.since = Instant::now();
             self.idle.push(line);
         }
+        match done.ended.status {
+            Status::Ok | Status::Error | Status::Full | Status::Reset => self.heard = Instant::now(),
+            // Nothing at all came since the attempt went out: its machine may have vanished, and the idle
+            // connections only look alive. What is written to one ends as a request that may have run.
+            Status::Timeout if matches!(done.what, What::Attempt(..)) && self.heard < done.started => {
+                self.idle.clear();
+            }
+            Status::Timeout | Status::ConnectFailed | Status::Cancelled | Status::Moot => {}
+        }
         match done.what {
             What::Attempt(id, attempt) => {
                 self.aborts.remove(&(id, attempt));
@@ -256,7 +263,7 @@
     /// The idle connection used last, or a new one, which is opened when it is first sent on.
     fn line(&mut self) -> Line {
         while let Some(line) = self.idle.pop() {
-            if line.wire.open() {
+            if line.wire.fit() {
                 return line;
             }
         }
@@ -272,13 +279,12 @@
     until: Instant,
     common: &Common,
 ) -> (Ended, Option<Line>) {
-    line.wire.sent.set(0);
+    line.wire.begin();
     let left = until.saturating_duration_since(Instant::now());
-    let most = common.own.body_bytes;
     let exchange = async {
         let response = request.encode(&line.client, endpoint, left).await.map_err(failure)?;
         let reply = Reply::decode(response.status(), response.headers(), &common.fields);
-        let body = whole_body(response, most, &line.wire).await?;
+        let body = whole_body(response, common, &line.wire).await?;
         Ok::<_, Status>((reply, body))
     };
     match timeout_at(until, exchange).await {
@@ -287,18 +293,18 @@
             let latency = Duration::ZERO;
             (Ended { status: reply.status, latency, load: reply.load, body }, Some(line))
         }
-        Ok(Err(status)) => (Ended::unsent(status), None),
+        Ok(Err(status)) => (Ended::unsent(judged(status, endpoint, &line.wire, common)), None),
         Err(_) => (Ended::unsent(line.wire.unless_sent(Status::Timeout)), None),
     }
 }
 
 async fn probe(line: Line, endpoint: SocketAddr, common: &Common) -> (Ended, Option<Line>) {
-    line.wire.sent.set(0);
+    line.wire.begin();
     let exchange = async {
         let request = line.client.get(probe_uri(endpoint, common.load_probes));
         let response = request.send().await.map_err(failure)?;
         let (status, headers) = (response.status(), response.headers().clone());
-        let body = whole_body(response, common.own.body_bytes, &line.wire).await?;
+        let body = whole_body(response, common, &line.wire).await?;
         Ok::<_, Status>(Reply::decode_probe(status, &headers, &body, &common.fields))
     };
     match timeout_at(Instant::now() + common.own.probe, exchange).await {
@@ -306,39 +312,35 @@
             let Reply { status, load, .. } = reply;
             (Ended { status, latency: Duration::ZERO, load, body: None }, Some(line))
         }
-        Ok(Err(status)) => (Ended::unsent(status), None),
+        Ok(Err(status)) => (Ended::unsent(judged(status, endpoint, &line.wire, common)), None),
         Err(_) => (Ended::unsent(Status::Timeout), None),
     }
 }
 
+/// What an attempt without an answer says. A spoilt answer is a server's word all the same: it lives and may
+/// have run the request. Taken for a broken connection, it had servers left out that were like all others.
+fn judged(status: Status, endpoint: SocketAddr, wire: &Wire, common: &Common) -> Status {
+    let Some(why) = wire.spoilt() else { return status };
+    let line = format!("answer of {endpoint} is of no use: {why}");
+    common.spoilt.say(module_path!(), log::Level::Warn, line);
+    Status::Error
+}
+
 /// Reads the body of an answer. One that breaks off is a reset, one that is too long an error.
-async fn whole_body(mut response: awc::ClientResponse, most: usize, wire: &Wire) -> Result<Bytes, Status> {
-    let length = response.headers().get(header::CONTENT_LENGTH);
-    let length = length.and_then(|l| l.to_str().ok()).and_then(|l| l.parse::<usize>().ok());
-    let body = read_body(&mut response, most).await.map_err(|cut| match cut {
+async fn whole_body(
+    mut response: awc::ClientResponse,
+    common: &Common,
+    wire: &Wire,
+) -> Result<Bytes, Status> {
+    let body = read_body(&mut response, common.own.body_bytes).await.map_err(|cut| match cut {
         Cut::Broken => Status::Reset,
         Cut::TooLong => Status::Error,
     })?;
     // Guards against half an answer served as a whole one: awc ends a body whose connection broke off without
-    // an error. Without a length, a body that came whole leaves its connection open, and a broken one took
-    // the connection with it.
-    drop(response);
-    let complete = length.map_or(wire.open(), |length| length == body.len());
-    if complete { Ok(body) } else { Err(Status::Reset) }
-}
-
-/// Why nothing was sent, for a reason that lies here and not with the server.
-#[derive(Debug)]
-struct Unsent(&'static str);
-
-impl std::fmt::Display for Unsent {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(self.0)
-    }
+    // an error.
+    if wire.whole() { Ok(body) } else { Err(Status::Reset) }
 }
 
-impl std::error::Error for Unsent {}
-
 /// What an error of awc's says about whether the request has run. In doubt it may have.
 fn failure(error: SendRequestError) -> Status {
     let here = |error: &io::Error| {
@@ -360,184 +362,6 @@
     }
 }
 
-/// When sends to a server must have ended, as it leaves.
-#[derive(Default)]
-struct Gate {
-    closes: Cell<Option<Instant>>,
-}
-
-/// What is seen of a connection from outside awc, which owns it.
-#[derive(Default)]
-struct Wire {
-    stream: RefCell<Weak<TcpStream>>,
-    /// Bytes of the present request that the kernel took.
-    sent: Cell<usize>,
-}
-
-impl Wire {
-    fn open(&self) -> bool {
-        self.stream.borrow().strong_count() > 0
-    }
-
-    /// Whether an idle connection has ended: nothing but its end is due to come on it.
-    fn ended(&self, cx: &mut Context<'_>) -> bool {
-        let Some(stream) = self.stream.borrow().upgrade() else { return true };
-        while stream.poll_read_ready(cx).is_ready() {
-            match stream.try_read(&mut [0]) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Ok(_) | Err(_) => return true,
-            }
-        }
-        false
-    }
-
-    /// This status where anything was sent, else the one that says that nothing can have run.
-    fn unless_sent(&self, status: Status) -> Status {
-        if self.sent.get() == 0 { Status::ConnectFailed } else { status }
-    }
-}
-
-/// Waits until one of the idle connections has ended, and tells its place. A server that closes one gets its
-/// end at once, and nothing is written to it any more.
-async fn ended_idle(idle: &[Line]) -> usize {
-    poll_fn(|cx| {
-        let ended = idle.iter().position(|line| line.wire.ended(cx));
-        ended.map_or(Poll::Pending, Poll::Ready)
-    })
-    .await
-}
-
-/// A connection to the server, or one to be opened.
-struct Line {
-    client: awc::Client,
-    wire: Rc<Wire>,
-    since: Instant,
-}
-
-impl Line {
-    fn new(common: &Common, gate: Rc<Gate>) -> Line {
-        let wire = Rc::new(Wire::default());
-        let (sockets, full) = (common.sockets.clone(), common.full.clone());
-        let dial = Dial { sockets, full, gate, wire: wire.clone() };
-        // Lifetimes and limits are kept here, so awc's own must never act.
-        let never = Duration::from_secs(1 << 30);
-        let connector = awc::Connector::new()
-            .connector(dial)
-            .timeout(common.own.connect)
-            .conn_keep_alive(never)
-            .conn_lifetime(never)
-            .limit(0);
-        let client = awc::Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .no_default_headers()
-            .finish();
-        Line { client, wire, since: Instant::now() }
-    }
-}
-
-/// Opens connections within the bound on descriptors.
-#[derive(Clone)]
-struct Dial {
-    sockets: Arc<Semaphore>,
-    full: Rc<Seldom>,
-    gate: Rc<Gate>,
-    wire: Rc<Wire>,
-}
-
-impl Service<ConnectInfo<Uri>> for Dial {
-    type Response = Connection<Uri, ServerIo>;
-    type Error = ConnectError;
-    type Future = LocalBoxFuture<'static, Result<Self::Response, Self::Error>>;
-
-    actix_service::always_ready!();
-
-    fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
-        let dial = self.clone();
-        Box::pin(async move {
-            let uri = info.request().clone();
-            let endpoint = authority(&uri).ok_or(ConnectError::Unresolved)?;
-            let permit = dial.sockets.try_acquire_owned().map_err(|_| {
-                let line = format!("no connection to {endpoint}: the bound on server connections is reached");
-                dial.full.say(module_path!(), log::Level::Warn, line);
-                ConnectError::Io(io::Error::other(Unsent("the bound on server connections is reached")))
-            })?;
-            let stream = TcpStream::connect(endpoint).await.map_err(ConnectError::Io)?;
-            stream.set_nodelay(true).map_err(ConnectError::Io)?;
-            let stream = Rc::new(stream);
-            *dial.wire.stream.borrow_mut() = Rc::downgrade(&stream);
-            let io = ServerIo { stream, gate: dial.gate, wire: dial.wire, _permit: permit };
-            Ok(Connection::new(uri, io))
-        })
-    }
-}
-
-/// A connection to a server. Dropping it closes the socket and gives its descriptor back.
-struct ServerIo {
-    stream: Rc<TcpStream>,
-    gate: Rc<Gate>,
-    wire: Rc<Wire>,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl std::fmt::Debug for ServerIo {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.stream.fmt(f)
-    }
-}
-
-impl AsyncRead for ServerIo {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result.map(|n| buf.advance(n))),
-            }
-        }
-    }
-}
-
-impl AsyncWrite for ServerIo {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        // Guards the drain: an attempt that waited for its connection must not begin after the grace.
-        if self.wire.sent.get() == 0 && self.gate.closes.get().is_some_and(|at| Instant::now() >= at) {
-            return Poll::Ready(Err(io::Error::other(Unsent("the server leaves and its grace is over"))));
-        }
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(buf) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-                Ok(n) => {
-                    self.wire.sent.set(self.wire.sent.get() + n);
-                    return Poll::Ready(Ok(n));
-                }
-            }
-        }
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    /// The socket is closed when it is dropped, which comes next.
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl ActixStream for ServerIo {
-    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&*self.stream, cx)
-    }
-
-    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&*self.stream, cx)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
