Give places of gone servers back: memory levels off while servers are replaced

Seen in a test: 6000 servers replaced under new names left 70 MB behind (names of 4 kB). Ruled out: connections (none is left open) and the list's buffers. At fault: module.rs kept `servers`, `by_uid` and one actor a name for good, and so did the module's table by their number.

A place is given back once its server is gone, nothing is out there and no request remembers it (the longest deadline). The module takes a number with another common name for a new server (rules.rs, `list`). A probe's answer without a report no longer counts as one that tells no load (rules.rs, `Probed`).

The test now stays under 12 MB; it fails without `clear_out`.

--- a/crates/sidecar/src/module.rs
+++ b/crates/sidecar/src/module.rs
@@ -126,9 +126,15 @@
     waited: Duration,
 }
 
+/// A place for a server, under the number that the module knows it by.
+#[derive(Default)]
 struct Known {
     uid: String,
     mailbox: Option<mpsc::UnboundedSender<peer::Msg>>,
+    /// Attempts and probes out there.
+    out: usize,
+    /// Since when the list lacks it.
+    gone: Option<Instant>,
 }
 
 /// The actor.
@@ -143,6 +149,10 @@
     requests: FxHashMap<RequestId, Entry>,
     servers: Vec<Known>,
     by_uid: FxHashMap<String, ServerId>,
+    /// Places of servers that are gone, for new ones.
+    free: Vec<ServerId>,
+    /// How long a place stays a gone server's: as long as a request may remember it.
+    remembered: Duration,
     actions: Vec<Action>,
     tally: Tally,
 }
@@ -160,7 +170,10 @@
             log::warn!("messages between sidecars have no protocol yet: the module does without");
             settings.limits.peers = false;
         }
+        let longest = settings.classes.iter().map(|c| c.deadline.0).max().unwrap_or(0);
         Module {
+            remembered: Duration::from_micros(longest),
+            free: Vec::new(),
             balancer: Balancer::new(settings, seed),
             site,
             clock: Clock::new(),
@@ -251,8 +264,12 @@
                 }
                 self.forget(id);
             }
-            Msg::Ended { id, attempt, server, ended } => self.ended(id, attempt, server, ended),
+            Msg::Ended { id, attempt, server, ended } => {
+                self.returned(server);
+                self.ended(id, attempt, server, ended);
+            }
             Msg::Probed { server, ended } => {
+                self.returned(server);
                 let latency = Span(ended.latency.as_micros() as u64);
                 self.event(Event::Probed { server, status: ended.status, latency, load: &ended.load });
             }
@@ -266,7 +283,15 @@
 
     fn ended(&mut self, id: RequestId, attempt: Attempt, server: ServerId, ended: Ended) {
         let Ended { status, latency, load, body } = ended;
-        log::debug!("attempt {} of request {}: {status:?} after {} us", attempt.0, id.0, latency.as_micros());
+        if log::log_enabled!(log::Level::Debug) {
+            let uid = self.servers.get(server.0 as usize).map_or("", |known| &known.uid);
+            let took = latency.as_micros();
+            log::debug!(
+                "attempt {} of request {} at {uid}: {status:?} after {took} us, load {load:?}",
+                attempt.0,
+                id.0
+            );
+        }
         let mut closed = true;
         if let Some(entry) = self.requests.get_mut(&id) {
             entry.out = entry.out.saturating_sub(1);
@@ -293,28 +318,50 @@
         }
     }
 
+    /// The number of a server, a new one's where the list names it for the first time.
+    fn number(&mut self, uid: &str) -> ServerId {
+        if let Some(server) = self.by_uid.get(uid) {
+            return *server;
+        }
+        let server = self.free.pop().unwrap_or_else(|| {
+            self.servers.push(Known::default());
+            ServerId(self.servers.len() as u32 - 1)
+        });
+        self.servers[server.0 as usize].uid = uid.to_owned();
+        self.by_uid.insert(uid.to_owned(), server);
+        server
+    }
+
+    /// Gives back the places of servers that have been gone for so long that no request remembers them. Their
+    /// actors end with their mailboxes. Without this, each replaced server stayed here for good.
+    fn clear_out(&mut self) {
+        let now = Instant::now();
+        for (n, known) in self.servers.iter_mut().enumerate() {
+            if known.out == 0 && known.gone.is_some_and(|gone| now - gone >= self.remembered) {
+                self.by_uid.remove(&known.uid);
+                *known = Known::default();
+                self.free.push(ServerId(n as u32));
+            }
+        }
+    }
+
     fn listed(&mut self, kind: ListKind, listing: &Listing) {
+        self.clear_out();
         let mut members = Vec::with_capacity(listing.entries.len());
         for entry in &listing.entries {
-            let server = match self.by_uid.get(&entry.uid) {
-                Some(server) => *server,
-                None => {
-                    let server = ServerId(self.servers.len() as u32);
-                    self.servers.push(Known { uid: entry.uid.clone(), mailbox: None });
-                    self.by_uid.insert(entry.uid.clone(), server);
-                    server
-                }
-            };
+            let server = self.number(&entry.uid);
             let known = &mut self.servers[server.0 as usize];
+            known.gone = (entry.state == State::Gone).then(|| known.gone.unwrap_or_else(Instant::now));
             match (&known.mailbox, entry.endpoint) {
                 (Some(mailbox), Some(endpoint)) => {
                     let (state, boot_ms) = (entry.state, entry.boot_ms);
                     let _ = mailbox.send(peer::Msg::Listed { endpoint, state, boot_ms });
                 }
-                (None, Some(endpoint)) => {
+                (Some(mailbox), None) => drop(mailbox.send(peer::Msg::Missing)),
+                (None, Some(endpoint)) if entry.state != State::Gone => {
                     known.mailbox = Some(peer::start(server, endpoint, entry.boot_ms, self.peers.clone()));
                 }
-                (_, None) => {}
+                (None, _) => {}
             }
             let zone = self.site.zones.iter().position(|z| *z == entry.zone);
             members.push(Member {
@@ -330,8 +377,12 @@
         if kind == ListKind::Whole {
             // What the whole list lacks is gone, though no entry says so.
             let listed: FxHashSet<ServerId> = members.iter().map(|m| m.server).collect();
-            for missing in (0..self.servers.len() as u32).map(ServerId).filter(|id| !listed.contains(id)) {
-                self.tell(missing, peer::Msg::Missing);
+            let missing = |(n, known): &(usize, &mut Known)| {
+                !known.uid.is_empty() && !listed.contains(&ServerId(*n as u32))
+            };
+            for (_, known) in self.servers.iter_mut().enumerate().filter(missing) {
+                known.gone = known.gone.or_else(|| Some(Instant::now()));
+                known.mailbox.iter().for_each(|mailbox| drop(mailbox.send(peer::Msg::Missing)));
             }
         }
         let count = |state| members.iter().filter(|m| m.state == state).count();
@@ -374,6 +425,7 @@
                 }
             }
             Action::Probe { server } => {
+                self.goes_out(server);
                 if !self.tell(server, peer::Msg::Probe) {
                     self.peers.module.probed(server, Ended::unsent(Status::ConnectFailed));
                 }
@@ -403,6 +455,7 @@
         let request = entry.request.clone();
         log::debug!("attempt {} of request {} goes out", attempt.0, id.0);
         let over = entry.slot.is_none() || attempt.0 >= self.site.settings.limits.max_attempts;
+        self.goes_out(server);
         let until = until.map(|at| self.clock.instant(at));
         // Without a time of its own an attempt ends with the client's patience, which ends it as gone.
         let until = until.unwrap_or_else(|| Instant::now() + Duration::from_micros(request.wait.0));
@@ -413,6 +466,15 @@
         }
     }
 
+    /// Something goes out to a server; whatever becomes of it, its end comes back to this actor once.
+    fn goes_out(&mut self, server: ServerId) {
+        self.servers.get_mut(server.0 as usize).into_iter().for_each(|known| known.out += 1);
+    }
+
+    fn returned(&mut self, server: ServerId) {
+        self.servers.get_mut(server.0 as usize).into_iter().for_each(|known| known.out -= 1);
+    }
+
     fn tell(&self, server: ServerId, msg: peer::Msg) -> bool {
         let mailbox = self.servers.get(server.0 as usize).and_then(|known| known.mailbox.as_ref());
         mailbox.is_some_and(|mailbox| mailbox.send(msg).is_ok())
--- /dev/null
+++ b/crates/sidecar/tests/churn.rs
@@ -0,0 +1,73 @@
+//! Servers are replaced all day, under new names, some at the address of one that has gone: what the program
+//! holds levels off, and nothing of the old one passes to the new.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+
+#[test]
+fn memory_and_descriptors_level_off_while_servers_are_replaced() {
+    let server = Server::start(|_, _| ok("x"));
+    let discovery = Discovery::start();
+    let mut setup = Setup::new(vec![]).discovery(&discovery).set("/sidecar/log", json!("info"));
+    for class in 0..3 {
+        // So long may a request remember a server.
+        setup = setup.set(&format!("/settings/classes/{class}/deadline"), json!(20_000));
+    }
+    let sidecar = setup.start();
+    discovery.calls.wait(1, "watches");
+    // Long names, so that what is kept shows.
+    let name = |n: usize| format!("s-{n:08}-{}", "x".repeat(4000));
+    let mut rev = 10;
+    let mut replace = |from: usize, to: usize| {
+        for n in (from..to).step_by(50) {
+            let come = (n..n + 50).map(|n| entry(&name(n), server.address, "up"));
+            let go = (n..n + 50).map(|n| entry(&name(n), server.address, "removed"));
+            discovery.send(rev + 1, false, come.collect());
+            sidecar.logged(&format!("revision {}: ", rev + 1));
+            discovery.send(rev + 2, false, go.collect());
+            sidecar.logged(&format!("revision {}: ", rev + 2));
+            rev += 2;
+        }
+        (sidecar.memory(), sidecar.descriptors())
+    };
+    let (memory, descriptors) = replace(0, 3000);
+    let (memory_later, descriptors_later) = replace(3000, 9000);
+    let grown = memory_later.saturating_sub(memory);
+    assert!(grown < 12 << 20, "{grown} bytes for 6000 servers replaced");
+    assert!(descriptors_later <= descriptors + 2, "{descriptors} descriptors, then {descriptors_later}");
+}
+
+#[test]
+fn a_new_server_at_an_old_ones_address_gets_connections_of_its_own() {
+    let server = Server::start(|_, _| ok("x"));
+    let discovery = Discovery::start();
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).discovery(&discovery).start();
+    discovery.calls.wait(1, "watches");
+    assert_eq!(sidecar.ask(&once("r1")).status(), 200);
+    discovery.send(8, false, vec![entry("s1", server.address, "removed"), entry("s2", server.address, "up")]);
+    sidecar.logged("revision 8: ");
+    server.closed.wait(1, "closed connections");
+    assert_eq!(sidecar.ask(&once("r2")).status(), 200);
+    assert_eq!(server.opened.len(), 2);
+}
+
+#[test]
+fn a_server_that_is_gone_with_a_request_out_still_answers_it() {
+    let (gate, wait) = latch("finished");
+    let server = Server::start(move |_, _| wait.clone());
+    let discovery = Discovery::start();
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).discovery(&discovery).start();
+    discovery.calls.wait(1, "watches");
+    let mut client = sidecar.connect();
+    client.send(&once("r1"));
+    server.requests.wait(1, "requests");
+    for rev in 8..30 {
+        let fresh = entry(&format!("s{rev}"), own_address(), "removed");
+        discovery.send(rev, false, vec![entry("s1", server.address, "removed"), fresh]);
+    }
+    sidecar.logged("revision 29: ");
+    gate.send(()).unwrap();
+    assert_eq!(client.answer().text(), "finished");
+}
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -492,6 +492,13 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// The memory that the program holds, in bytes.
+    pub fn memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<usize>().unwrap() * 1024
+    }
+
     /// Waits for a line of the log that holds this.
     pub fn logged(&self, what: &str) {
         let end = Instant::now() + PATIENCE;
--- a/src/api.rs
+++ b/src/api.rs
@@ -37,7 +37,8 @@
     }
 }
 
-/// A server, numbered by the host for one instance in the order in which it was first named.
+/// A server, numbered by the host for one instance. The number of one that is gone may be given to another,
+/// with another common name, once nothing is out there and no request remembers it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ServerId(pub u32);
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -339,7 +339,7 @@
                     self.probes_out -= 1;
                 }
                 self.note(now, server, status, None, load);
-                if let Some(s) = self.servers.get(server.0 as usize).filter(|_| status == Status::Ok) {
+                if let (Status::Ok, [_, ..], Some(s)) = (status, load, self.servers.get(server.0 as usize)) {
                     let load = s.reported.unwrap_or(0.0);
                     self.busy = smooth(Some(self.busy), f64::from(load >= 0.5), SMOOTH_TURN);
                     self.usual = smooth(Some(self.usual), load, SMOOTH_TURN);
@@ -987,7 +987,7 @@
         self.servers.resize(self.servers.len().max(at + 1), Server::default());
         let (credit, credit_mark) = (self.rng.random::<f64>(), self.sends);
         let known = &mut self.servers[at];
-        if entry.born > known.born || known.heard.is_none() {
+        if entry.born > known.born || known.heard.is_none() || entry.common != known.common {
             // New or restarted: what was known of an old process is void, and it enters at the mean.
             let (born, common, heard) = (entry.born, entry.common, Some(now));
             let (out, probing, room, rest) = (known.out, known.probing, 1.0, Server::default());
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -283,3 +283,27 @@
     assert!(mean > 60, "{mean} of 80 requests a server were sent");
     assert!(*got.iter().max().unwrap() < 2 * mean, "{got:?}");
 }
+
+#[test]
+fn a_number_given_to_another_server_carries_nothing_over() {
+    let mut world = World::new(settings(), &members(3));
+    // Connections to it fail again and again, until it is left out for long.
+    let mut id = 0;
+    for _ in 0..6 {
+        world.pass(Span(60_000 * MS));
+        loop {
+            id += 1;
+            world.ask(id, SAFE, Span(700 * MS));
+            let failed = world.server_of(id) == ServerId(1);
+            world.end(id, if failed { Status::ConnectFailed } else { Status::Ok }, &[]);
+            if failed {
+                world.end(id, Status::Ok, &[]);
+                break;
+            }
+        }
+    }
+    world.list(ListKind::Changes, &[Member { state: State::Gone, ..member(1, 1, 0) }]);
+    world.list(ListKind::Changes, &[Member { common: 4711, ..member(1, 1, 0) }]);
+    let got = world.serve(id + 1, 100, |_| Vec::new());
+    assert!(got.get(&1).is_some_and(|n| *n > 10), "{got:?}");
+}
