--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,7 +26,7 @@
 const ASKED: f64 = 3.0;
 /// How sharply a load above the mean counts (`bent`): idle and busy servers stay apart under one crowded one.
 const BEND: f64 = 4.0;
-/// A server is blamed for connections that broke in a row if chance is less likely than this to bring them.
+/// A server is blamed for errors and resets in a row if chance is less likely than this to bring so many.
 const BLAME: f64 = 0.01;
 /// Reports are not believed when more than this part of them misses attempts that were out before.
 const DOUBT: f64 = 0.2;
@@ -108,8 +108,8 @@
     strikes: u32,
     shunned: Time,
     unreachable: bool,
-    /// Connections in a row that broke under a request.
-    broke: i32,
+    /// Its attempts in a row that ended as an error or a reset.
+    failed: i32,
     /// When the probe that is out was sent.
     probing: Option<Time>,
     /// Cold budget, and the count of own sends up to which it was filled.
@@ -227,8 +227,8 @@
     tenants: Vec<(f64, f64)>,
     /// Smoothed part of the reports that miss attempts of ours.
     doubt: f64,
-    /// Smoothed part of all attempts and probes whose connection broke.
-    broken: f64,
+    /// Smoothed part of all attempts that ended so.
+    failing: f64,
     /// The most load behind which every class is still thought to be answered within its aim.
     load_limit: f64,
     /// When each other instance last told its attempts out by server, and what.
@@ -283,7 +283,7 @@
             tenants: set.tenants.iter().map(|t| (t.quota_per_s / quotas, t.quota_per_s / quotas)).collect(),
             turns: vec![Turn::default(); set.classes.len()],
             doubt: 0.0,
-            broken: 0.0,
+            failing: 0.0,
             load_limit: f64::MAX,
             peers: Vec::new(),
             peer_credit: 0.0,
@@ -393,25 +393,29 @@
         if latency.is_some() {
             s.out = s.out.saturating_sub(1);
         }
-        // Where connections break at all servers alike, none is blamed: nearly all were once left out.
-        s.broke = if status == Status::Reset { s.broke + 1 } else { 0 };
-        let blamed = self.broken.powi(s.broke) < BLAME;
-        self.broken = smooth(Some(self.broken), f64::from(s.broke.min(1)), SMOOTH_TURN);
+        // What fails at all servers alike is no server's fault: nearly all were once left out for it. One
+        // that fails fast looks idle: unblamed, it drew the most. A single failure is no sign yet.
+        let (mut blamed, failed) = (false, matches!(status, Status::Error | Status::Reset));
+        if latency.is_some() && (failed || status == Status::Ok) {
+            s.failed = if failed { s.failed + 1 } else { 0 };
+            blamed = (self.failing + BLAME).powi(s.failed) < BLAME;
+            self.failing = smooth(Some(self.failing), f64::from(failed), SMOOTH_TURN);
+        }
         let silent = latency.is_some_and(|l| l >= aim && s.waiting.is_some_and(|t| now - t >= l));
         if status == Status::Ok {
             s.heard = Some(now);
         } else if status == Status::ConnectFailed || blamed {
-            s.strike(now, aim, true);
+            s.strike(now, aim, status != Status::Error);
         } else if status == Status::Timeout && (silent || latency.is_none()) {
             s.strike(now, aim, latency.is_none());
         }
-        if matches!(status, Status::Ok | Status::Error | Status::Full) && (latency.is_some() || s.unreachable)
-        {
+        let alive = matches!(status, Status::Ok | Status::Error | Status::Full) && !blamed;
+        if alive && (latency.is_some() || s.unreachable) {
             (s.strikes, s.shunned, s.unreachable) = (0, Time(0), false);
         }
         if s.out == 0 {
             s.waiting = None;
-        } else if latency.is_some() && matches!(status, Status::Ok | Status::Error | Status::Full) {
+        } else if latency.is_some() && alive {
             s.waiting = Some(now);
         }
         if status == Status::Full {
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -211,6 +211,8 @@
         world.end(id, Status::Error, &[]);
         again += u32::from(world.attempts_of(id) == 2);
         world.end(id, Status::Ok, &[]);
+        // An error now and then is no reason to leave a server out.
+        world.serve(1_000 + 20 * id, 20, |_| Vec::new());
     }
     assert_eq!(again, 30);
 }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -407,3 +407,31 @@
     // A few, until it is known how many break by chance; 301 while each break was a server's fault.
     assert!(refused < 10, "{refused} refused");
 }
+
+#[test]
+fn a_server_that_fails_fast_does_not_draw_the_requests() {
+    let mut set = counting();
+    set.limits.probes = true;
+    let mut world = World::new(set, &members(4));
+    world.serve(0, 100, |_| vec![1.0, 0.0, 0.3]);
+    // Server 1 answers at once, nearly always with an error, and so looks idle; its probes are answered. The
+    // others take 40 ms each.
+    let mut got = [0; 4];
+    for id in 1000..2000 {
+        world.ask(id, UNSAFE, Span(700 * MS));
+        world.answer_probes(|s| if s == 1 { 0.0 } else { 3.0 });
+        world.pass(Span(2 * MS));
+        if world.attempts_of(id) > 0 {
+            let server = world.server_of(id).0 as usize;
+            got[server] += 1;
+            if server == 1 {
+                let status = if got[1] % 8 == 0 { Status::Ok } else { Status::Error };
+                world.end(id, status, &[0.0, 0.0, 0.0]);
+            }
+        }
+        if id >= 1020 && world.attempts_of(id - 20) > 0 && world.answer_of(id - 20).is_none() {
+            world.end(id - 20, Status::Ok, &[3.0, 2.0, 0.9]);
+        }
+    }
+    assert!(got[1] * 10 < got.iter().sum::<u32>(), "{got:?}");
+}
