--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -18,6 +18,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::fmt::{self, Display, Formatter};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
@@ -58,6 +59,7 @@
     site: Rc<Site>,
     own: Rc<Own>,
     module: module::Handle,
+    clients: Rc<Clients>,
     /// Requests that may still be taken.
     requests: Arc<Semaphore>,
     /// The names of those that are taken.
@@ -81,10 +83,12 @@
     let listener = bind(listen, most).with_context(|| format!("EDGE_LISTEN: {listen}"))?;
     let connections = Arc::new(Semaphore::new(most));
     let requests = Arc::new(Semaphore::new(own.requests));
+    let clients = Rc::new(Clients { own: own.clone(), seats: RefCell::default(), next: Cell::new(0) });
     let front = Rc::new(Front {
         site,
-        own: own.clone(),
+        own,
         module,
+        clients: clients.clone(),
         requests,
         ids: RefCell::default(),
         next: Cell::new(0),
@@ -109,7 +113,6 @@
         .await
         .map_err(|()| anyhow!("the server could not be set up"))?;
     let service = Rc::new(service);
-    let clients = Rc::new(Clients { own, seats: RefCell::default(), next: Cell::new(0) });
     let sweeper = actix_rt::spawn(sweep(clients.clone(), connections.clone()));
     log::info!("listening on {listen}");
     loop {
@@ -209,11 +212,7 @@
     let mut response = if request.method() == Method::GET && request.path() == HEALTH {
         Response::with_body(StatusCode::OK, Bytes::from_static(b"ok\n"))
     } else if over {
-        front.full.say(
-            module_path!(),
-            Level::Warn,
-            "request refused: the bound on client connections is reached",
-        );
+        front.full.say(module_path!(), Level::Warn, Crowd(&front.clients));
         Answer::Refused { retry_after: None }.encode()
     } else {
         match front.take(&mut request, state.as_deref(), received).await {
@@ -226,7 +225,9 @@
             }
         }
     };
-    let close = turned_away || over || *front.stage.borrow() > Stage::Serving;
+    // Where places run short, an answer ends its connection: hundreds of clients a second that ask once and keep
+    // theirs once held all places for the 2 s for which an idle one must be kept.
+    let close = turned_away || over || front.clients.crowded() || *front.stage.borrow() > Stage::Serving;
     if close {
         // It ends once the answer is written; nothing else may end it before.
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
@@ -395,6 +396,11 @@
         Seat { clients: self.clone(), number, state, _permit: permit }
     }
 
+    /// Three quarters of the places are taken.
+    fn crowded(&self) -> bool {
+        4 * self.seats.borrow().len() >= 3 * self.own.client_connections.max(4)
+    }
+
     fn make_room(&self, now: Instant) -> bool {
         let seats = self.seats.borrow();
         let spare = seats.values().filter_map(|state| Some((state.spare(now)?, state)));
@@ -403,6 +409,26 @@
     }
 }
 
+/// Who holds the places, for the log.
+struct Crowd<'a>(&'a Clients);
+
+impl Display for Crowd<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let seats = self.0.seats.borrow();
+        let count = |phase| seats.values().filter(|state| state.phase.get() == phase).count();
+        write!(
+            f,
+            "request refused: the bound on client connections is reached: {} silent, {} sending, {} in hand, \
+             {} idle, {} ending",
+            count(Phase::Silent),
+            count(Phase::Reading),
+            count(Phase::InHand),
+            count(Phase::Idle),
+            count(Phase::Draining)
+        )
+    }
+}
+
 /// A connection's place among the clients'. Dropping it gives the place back.
 struct Seat {
     clients: Rc<Clients>,
--- a/crates/sidecar/tests/clients.rs
+++ b/crates/sidecar/tests/clients.rs
@@ -183,6 +183,28 @@
     served(&sidecar);
 }
 
+#[test]
+fn many_that_ask_once_and_stay_are_all_served() {
+    // Each keeps its connection, and none may be closed as idle within the time of this test.
+    let server = Server::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")])
+        .set("/sidecar/client_connections", json!(20))
+        .set("/sidecar/client_idle_ms", json!(600_000))
+        .start();
+    let mut stay = Vec::new();
+    let start = Instant::now();
+    for n in 0..100 {
+        let mut client = sidecar.connect();
+        client.send(&read(&format!("r{n}")));
+        assert_eq!(client.answer().status(), 200, "client {n}");
+        stay.push(client);
+    }
+    assert!(start.elapsed() < PATIENCE, "too slow to tell");
+    // The first of them were not told to close, and still are served.
+    stay[0].send(&read("again"));
+    assert!(stay[0].answer_or_end().is_none_or(|answer| answer.status() == 200));
+}
+
 #[test]
 fn a_flood_on_one_connection_costs_the_others_nothing() {
     let server = Server::start(|n, _| if n == 0 { Act::Hang } else { ok("x") });
