--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -435,3 +435,24 @@
     }
     assert!(got[1] * 10 < got.iter().sum::<u32>(), "{got:?}");
 }
+
+#[test]
+fn probes_without_a_report_do_not_tell_of_idle_servers() {
+    let mut set = counting();
+    set.limits.probes = true;
+    let mut world = World::new(set, &members(8));
+    // The most probes that one request had sent, of the last hundred.
+    let mut most = 0;
+    for id in 0..400 {
+        world.pass(Span(20 * MS));
+        world.ask(id, SAFE, Span(700 * MS));
+        let probed: Vec<u32> = world.probing.iter().copied().collect();
+        most = if id < 300 { 0 } else { most.max(probed.len()) };
+        for server in probed {
+            world.answer_probe(server, Status::Ok, &[]);
+        }
+        world.pass(Span(10 * MS));
+        world.end(id, Status::Ok, &[]);
+    }
+    assert!(most >= 2, "servers thought idle: {most} probed at a time");
+}
