--- /dev/null
+++ b/crates/directory/src/snapshot.rs
@@ -0,0 +1,61 @@
+//! The list as last held, for a start without discovery, where a disk lasts. Pure: bytes in, bytes out; the shell
+//! replaces the file in one step. One line of JSON behind a line with format, version and checksum.
+
+use crate::entry::Listing;
+use anyhow::{Context, Result, bail};
+use dunlincleat::api::{Span, Time};
+
+const FORMAT: &str = "dunlincleat-list";
+const VERSION: u32 = 1;
+
+/// A list and when it was surely all that discovery had told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Snapshot {
+    /// Unix time in microseconds up to which it was surely complete.
+    pub fresh_at: Time,
+    /// The whole list.
+    pub listing: Listing,
+}
+
+impl Snapshot {
+    /// The file's bytes.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let body = serde_json::json!({"fresh_at_us": self.fresh_at.0, "list": self.listing.to_value()});
+        let body = body.to_string();
+        let sum = crc32fast::hash(body.as_bytes());
+        format!("{FORMAT} {VERSION} {sum:08x}\n{body}\n").into_bytes()
+    }
+
+    /// Reads a file's bytes.
+    ///
+    /// # Errors
+    ///
+    /// Says what the file is not: this format, this version, whole, a list. It is then to be started without.
+    pub fn decode(bytes: &[u8]) -> Result<Snapshot> {
+        let text = std::str::from_utf8(bytes).context("it is not UTF-8")?;
+        let (head, body) = text.split_once('\n').context("it has no first line")?;
+        let mut head = head.split(' ');
+        if head.next() != Some(FORMAT) {
+            bail!("it is no list of servers (the first word is not {FORMAT})");
+        }
+        let version = head.next().unwrap_or_default();
+        if version != VERSION.to_string() {
+            bail!("it is of version '{version}', this program reads version {VERSION}");
+        }
+        let body = body.strip_suffix('\n').context("it was cut off")?;
+        let sum = format!("{:08x}", crc32fast::hash(body.as_bytes()));
+        if head.next() != Some(&sum) {
+            bail!("its checksum does not fit: it is damaged");
+        }
+        let mut body: serde_json::Value = serde_json::from_str(body)?;
+        let fresh_at = Time(body["fresh_at_us"].as_u64().context("fresh_at_us is no number")?);
+        Ok(Snapshot { fresh_at, listing: Listing::from_value(body["list"].take())? })
+    }
+
+    /// How old the list is; nothing where its time lies ahead, as after a clock was set back.
+    #[must_use]
+    pub fn age(&self, now: Time) -> Span {
+        now - self.fresh_at
+    }
+}
--- /dev/null
+++ b/crates/directory/tests/schedules.rs
@@ -0,0 +1,498 @@
+//! The follower against a stand-in discovery on a stepped clock: it breaks at any byte, falls silent, is slow, accepts
+//! and says nothing, restarts with versions that go back, moves. An auditor that knows only what discovery wrote, and
+//! when, says how late each drain was heard and whether a server was still sent to after its bound.
+
+use dunlincleat::api::{Discovery, ListKind, Span, State, Time};
+use dunlincleat_directory::{
+    Ask, Cause, Delivery, Figures, Follower, Input, Lines, Listing, Output, WatchId,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+const MS: u64 = 1000;
+const HEARTBEAT: u64 = 2000 * MS;
+const TOLD_WITHIN: u64 = 6000 * MS;
+const GRACE: u64 = 1000 * MS;
+/// The slack of the rule on sockets.
+const SLACK: u64 = 50 * MS;
+/// How far behind what a new watch would have told the list may be.
+const BEHIND: u64 = 3000 * MS;
+/// The same where a new start of discovery is hidden by its versions.
+const MASKED: u64 = TOLD_WITHIN + GRACE + BEHIND;
+const START: u64 = 1_800_000_000_000_000;
+
+fn figures() -> Figures {
+    Figures::derive(Span(HEARTBEAT), Span(TOLD_WITHIN), Span(GRACE))
+}
+
+/// How discovery treats calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Mood {
+    Speaks,
+    Refuses,
+    /// Takes the connection and never answers.
+    Hangs,
+    /// Begins an answer and writes no line.
+    Mute,
+}
+
+#[derive(Clone, Debug)]
+enum Act {
+    /// A server is listed in this state; `None` for its state where it is removed.
+    List(String, State, u64, u16),
+    Mood(Mood),
+    /// Every open watch is reset; what was written last is lost unread.
+    Reset,
+    /// Every open watch stays open and never brings anything again.
+    Freeze,
+    /// The next line is cut after so many bytes and its watch broken.
+    Cut(usize),
+    /// The next line is garbage.
+    Garble,
+    /// Lines take so long from here on.
+    Slow(u64),
+    /// Versions begin anew.
+    Restart,
+    /// The sidecar is told of another address, whose versions are others.
+    Move,
+}
+
+struct Wire {
+    id: WatchId,
+    lines: Lines,
+    frozen: bool,
+    /// Version up to which it has been told.
+    rev: u64,
+    next_beat: u64,
+    at: SocketAddr,
+}
+
+type Line = (State, u64, u16, u64);
+
+/// Discovery, the sidecar's shell and the auditor.
+struct World {
+    now: u64,
+    follower: Follower,
+    mood: Mood,
+    slow: u64,
+    cut: Option<usize>,
+    garble: bool,
+    rev: u64,
+    /// What is listed: state, start, port, version of the last change.
+    truth: BTreeMap<String, Line>,
+    wires: Vec<Wire>,
+    /// What is on its way to the sidecar.
+    flight: BTreeMap<(u64, u64), (Input, u32)>,
+    /// How often versions began anew, and the count that the list held is of.
+    count: u32,
+    held_count: u32,
+    arriving: u32,
+    /// When a watch was opened after a version of an earlier count that the new one has passed.
+    masked: Vec<u64>,
+    sent: u64,
+    at: SocketAddr,
+    /// What the sidecar would send to.
+    usable: BTreeMap<String, u64>,
+    /// Drains by server and start: when discovery meant it, and when it first wrote it.
+    drains: BTreeMap<(String, u64), (u64, Option<u64>)>,
+    heard: BTreeMap<(String, u64), u64>,
+    /// Since when a new watch would have spoken, without a break.
+    good_since: Option<u64>,
+    good: Vec<(u64, u64)>,
+}
+
+impl World {
+    fn new(seed: u64, figures: Figures) -> World {
+        let at = "127.0.0.1:1".parse().unwrap();
+        let (follower, _) =
+            Follower::new(Time(START), figures, Discovery::Pushed, at, seed, Listing::default());
+        World {
+            now: START,
+            follower,
+            mood: Mood::Speaks,
+            slow: MS,
+            cut: None,
+            garble: false,
+            rev: 0,
+            truth: BTreeMap::new(),
+            wires: Vec::new(),
+            flight: BTreeMap::new(),
+            count: 0,
+            held_count: 0,
+            arriving: 0,
+            masked: Vec::new(),
+            sent: 0,
+            at,
+            usable: BTreeMap::new(),
+            drains: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            good_since: Some(START),
+            good: Vec::new(),
+        }
+    }
+
+    fn fly(&mut self, input: Input, after: u64) {
+        self.sent += 1;
+        self.flight.insert((self.now + after, self.sent), (input, self.count));
+    }
+
+    fn json(&self, rev: u64, whole: bool) -> String {
+        let mut targets = Vec::new();
+        for (uid, (state, boot, port, changed)) in &self.truth {
+            if *changed > rev || whole {
+                if whole && *state == State::Gone {
+                    continue;
+                }
+                let state = match state {
+                    State::Ready => "up",
+                    State::Draining => "draining",
+                    State::Gone => "removed",
+                };
+                let endpoint = format!("127.0.0.2:{port}");
+                targets.push(serde_json::json!(
+                    {"uid": uid, "endpoint": endpoint, "az": "a", "state": state, "boot_ms": boot}
+                ));
+            }
+        }
+        serde_json::json!({"rev": self.rev, "all": whole, "targets": targets}).to_string() + "\n"
+    }
+
+    /// Writes to a watch what it has not been told.
+    fn write(&mut self, id: WatchId, beat: bool) {
+        let Some(at) = self.wires.iter().position(|w| w.id == id) else { return };
+        if self.wires[at].frozen || self.mood != Mood::Speaks || self.wires[at].at != self.at {
+            return;
+        }
+        let rev = self.wires[at].rev;
+        let beat = beat && rev == self.rev;
+        let whole = rev > self.rev || rev == u64::MAX;
+        let mut line = if beat { "\n".to_owned() } else { self.json(rev, whole) };
+        if !beat {
+            let now = self.now;
+            for ((uid, boot), (_, wrote)) in &mut self.drains {
+                if self.truth.get(uid).is_none_or(|(_, now_boot, ..)| now_boot == boot) {
+                    wrote.get_or_insert(now);
+                }
+            }
+        }
+        if !beat && std::mem::take(&mut self.garble) {
+            line = "{\"rev\":\n".to_owned();
+            self.broken();
+        }
+        let cut = if beat { None } else { self.cut.take() };
+        let kept = cut.map_or(line.len(), |cut| cut % line.len());
+        let wire = &mut self.wires[at];
+        (wire.rev, wire.next_beat) = (self.rev, self.now + HEARTBEAT);
+        let lines = wire.lines.take(&line.as_bytes()[..kept]).unwrap();
+        let slow = self.slow;
+        for line in lines {
+            let listing = if line.is_empty() { Ok(None) } else { Listing::decode(&line).map(Some) };
+            match listing {
+                Ok(listing) => self.fly(Input::Line(id, listing), slow),
+                Err(error) => self.fly(Input::Ended(id, Cause::Garbled(error.to_string())), slow),
+            }
+        }
+        if cut.is_some() {
+            self.broken();
+            self.fly(Input::Ended(id, Cause::Broke("cut".into())), slow + 1);
+            self.wires.remove(at);
+        }
+    }
+
+    fn carry_out(&mut self, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Open { watch, at, ask } => self.call(watch, at, ask),
+                Output::Close(watch) => {
+                    self.wires.retain(|w| w.id != watch);
+                    // What is on its way of it is never read.
+                    self.flight.retain(|_, (input, _)| match input {
+                        Input::Opened(id) | Input::Line(id, _) | Input::Ended(id, _) => *id != watch,
+                        Input::Wanted | Input::Moved(_) => true,
+                    });
+                }
+                Output::Deliver(delivery) => self.deliver(&delivery),
+                Output::Failed | Output::Lost { .. } | Output::Followed { .. } => {}
+            }
+        }
+    }
+
+    fn call(&mut self, id: WatchId, at: SocketAddr, ask: Ask) {
+        if at != self.at || self.mood == Mood::Refuses {
+            return self.fly(Input::Ended(id, Cause::Unreachable("refused".into())), MS);
+        }
+        if self.mood == Mood::Hangs {
+            return;
+        }
+        self.fly(Input::Opened(id), MS);
+        let rev = match ask {
+            Ask::After(rev) => rev,
+            Ask::Whole | Ask::Check => u64::MAX,
+        };
+        if ask == Ask::Check {
+            let line = self.json(0, true);
+            let listing = Listing::decode(line.as_bytes()).unwrap();
+            return self.fly(Input::Line(id, Some(listing)), self.slow);
+        }
+        // Its versions count anew and have passed those held: only the check will show it.
+        if rev != u64::MAX && rev <= self.rev && self.count != self.held_count {
+            self.masked.push(self.now);
+        }
+        let next_beat = self.now + HEARTBEAT;
+        self.wires.push(Wire { id, lines: Lines::default(), frozen: false, rev, next_beat, at });
+        self.write(id, false);
+    }
+
+    fn deliver(&mut self, delivery: &Delivery) {
+        self.held_count = self.arriving;
+        if delivery.kind != ListKind::Changes {
+            self.usable.clear();
+        }
+        for entry in &delivery.entries {
+            match entry.state {
+                State::Ready => drop(self.usable.insert(entry.uid.clone(), entry.boot_ms)),
+                State::Draining | State::Gone => drop(self.usable.remove(&entry.uid)),
+            }
+        }
+        for (uid, boot) in self.drains.keys() {
+            if self.usable.get(uid) != Some(boot) {
+                self.heard.entry((uid.clone(), *boot)).or_insert(self.now);
+            }
+        }
+    }
+
+    fn good(&mut self) {
+        let good = self.mood == Mood::Speaks;
+        match (self.good_since, good) {
+            (None, true) => self.good_since = Some(self.now),
+            (Some(since), false) => {
+                self.good.push((since, self.now));
+                self.good_since = None;
+            }
+            (None, false) | (Some(_), true) => {}
+        }
+    }
+
+    /// A break within a good time: whoever was about to hear must begin anew.
+    fn broken(&mut self) {
+        if let Some(since) = self.good_since {
+            self.good.push((since, self.now));
+            self.good_since = Some(self.now);
+        }
+    }
+
+    fn act(&mut self, act: Act) {
+        match act {
+            Act::List(uid, state, boot, port) => {
+                self.rev += 1;
+                let left = self.truth.get(&uid).is_some_and(|(s, b, ..)| *s != State::Ready && *b == boot);
+                if state != State::Ready && !left && self.truth.contains_key(&uid) {
+                    self.drains.insert((uid.clone(), boot), (self.now, None));
+                }
+                self.truth.insert(uid, (state, boot, port, self.rev));
+                for id in self.wires.iter().map(|w| w.id).collect::<Vec<_>>() {
+                    self.write(id, false);
+                }
+            }
+            Act::Mood(mood) => {
+                self.mood = mood;
+                self.good();
+            }
+            Act::Reset => {
+                for id in self.wires.drain(..).map(|w| w.id).collect::<Vec<_>>() {
+                    self.flight.retain(|_, (input, _)| !matches!(input, Input::Line(line, _) if *line == id));
+                    self.fly(Input::Ended(id, Cause::Broke("reset".into())), MS);
+                }
+                self.broken();
+            }
+            Act::Freeze => {
+                self.wires.iter_mut().for_each(|w| w.frozen = true);
+                self.broken();
+            }
+            Act::Cut(at) => {
+                self.cut = Some(at);
+                self.broken();
+            }
+            Act::Garble => {
+                self.garble = true;
+                self.broken();
+            }
+            Act::Slow(slow) => self.slow = slow,
+            Act::Restart => {
+                // All that is still listed is listed anew, from version 1 on.
+                self.act(Act::Reset);
+                self.count += 1;
+                self.truth.retain(|_, (state, ..)| *state != State::Gone);
+                self.rev = 1;
+                self.truth.values_mut().for_each(|(.., changed)| *changed = 1);
+            }
+            Act::Move => {
+                self.at = SocketAddr::new(self.at.ip(), self.at.port() + 1);
+                self.act(Act::Restart);
+                let at = self.at;
+                self.fly(Input::Moved(at), MS);
+            }
+        }
+    }
+
+    /// Runs to a time, one event after the other.
+    fn run_to(&mut self, end: u64) {
+        loop {
+            let mut out = Vec::new();
+            self.follower.wake(Time(self.now), &mut out);
+            self.carry_out(out);
+            let due = self.follower.due().map_or(u64::MAX, |t| t.0.max(self.now + 1));
+            let flight = self.flight.keys().next().map_or(u64::MAX, |(at, _)| *at);
+            let beat = self.wires.iter().filter(|w| !w.frozen && w.at == self.at).map(|w| w.next_beat).min();
+            let next = due.min(flight).min(beat.unwrap_or(u64::MAX).max(self.now + 1));
+            if next > end {
+                self.now = end;
+                return;
+            }
+            self.now = next;
+            for id in self.wires.iter().filter(|w| w.next_beat <= next).map(|w| w.id).collect::<Vec<_>>() {
+                if let Some(wire) = self.wires.iter_mut().find(|w| w.id == id) {
+                    wire.next_beat = next + HEARTBEAT;
+                }
+                self.write(id, true);
+            }
+            while let Some((&(at, n), _)) = self.flight.first_key_value().filter(|((at, _), _)| *at <= next) {
+                let Some((input, count)) = self.flight.remove(&(at, n)) else { break };
+                self.arriving = count;
+                let mut out = Vec::new();
+                self.follower.input(Time(self.now), input, &mut out);
+                self.carry_out(out);
+            }
+        }
+    }
+
+    /// What the auditor finds, in words.
+    fn audit(&mut self) -> Vec<String> {
+        if let Some(since) = self.good_since {
+            self.good.push((since, u64::MAX));
+        }
+        let mut faults = Vec::new();
+        for (key, (meant, wrote)) in &self.drains {
+            let told = wrote.unwrap_or(u64::MAX).min(meant + TOLD_WITHIN);
+            let heard = self.heard.get(key).copied().unwrap_or(u64::MAX);
+            // From when on discovery spoke for long enough that a new watch would have told.
+            // Where versions hide a new start, the check of the whole list tells, and again after the bound.
+            let masked = self.masked.iter().any(|at| *at + 2 * MASKED > *meant && *at < heard);
+            let behind = if masked { MASKED } else { BEHIND };
+            let spoke = self.good.iter().find(|(from, to)| (*from).max(*meant) + behind <= *to);
+            let spoke = spoke.map_or(u64::MAX, |(from, _)| (*from).max(*meant));
+            let late = heard.saturating_sub(*meant) / MS;
+            if heard > spoke.saturating_add(behind) {
+                faults.push(format!("{key:?}: heard {late} ms late, over 3 s behind a new watch"));
+            }
+            if heard > told + GRACE + SLACK && spoke.saturating_add(behind) <= told + GRACE {
+                faults.push(format!("{key:?}: heard {late} ms late, sent to after its bound"));
+            }
+        }
+        let ready = |(_, (state, ..)): &(&String, &Line)| *state == State::Ready;
+        let up: BTreeSet<&String> = self.truth.iter().filter(ready).map(|(uid, _)| uid).collect();
+        let usable: BTreeSet<&String> = self.usable.keys().collect();
+        if up != usable {
+            faults.push(format!("at the end {usable:?} are used, {up:?} are up"));
+        }
+        let health = self.follower.health();
+        if health.watches > 6 {
+            faults.push(format!("{} watches open", health.watches));
+        }
+        faults
+    }
+}
+
+/// A random day: servers come, drain, go and come back; discovery has its moods.
+fn day(seed: u64, figures: Figures) -> Vec<String> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut world = World::new(seed, figures);
+    for n in 0..6 {
+        world.act(Act::List(format!("s{n}"), State::Ready, 0, n));
+    }
+    world.run_to(START + 3000 * MS);
+    let (mut born, mut mood_ends) = (6, 0);
+    for _ in 0..rng.random_range(10..60) {
+        let to = world.now + rng.random_range(1..2500) * MS;
+        world.run_to(to);
+        if world.mood != Mood::Speaks && world.now >= mood_ends {
+            world.act(Act::Mood(Mood::Speaks));
+        }
+        let live: Vec<(String, Line)> = world.truth.iter().map(|(uid, line)| (uid.clone(), *line)).collect();
+        let act = match rng.random_range(0..16) {
+            0..6 if !live.is_empty() => {
+                let (uid, (state, boot, port, _)) = live[rng.random_range(0..live.len())].clone();
+                match state {
+                    State::Ready => Act::List(uid, State::Draining, boot, port),
+                    State::Draining => Act::List(uid, State::Gone, boot, port),
+                    // A successor at the same address, or the same server started anew.
+                    State::Gone if rng.random_bool(0.5) => Act::List(uid, State::Ready, world.now / MS, port),
+                    State::Gone => {
+                        born += 1;
+                        Act::List(format!("s{born}"), State::Ready, world.now / MS, 1000 + born)
+                    }
+                }
+            }
+            6 | 7 => Act::Freeze,
+            8 => Act::Reset,
+            9 => Act::Cut(rng.random_range(0..2000)),
+            10 => Act::Garble,
+            11 => Act::Slow(rng.random_range(0..300) * MS),
+            12 => Act::Restart,
+            13 => Act::Move,
+            _ => {
+                mood_ends = world.now + rng.random_range(100..9000) * MS;
+                let moods = [Mood::Refuses, Mood::Hangs, Mood::Mute];
+                Act::Mood(moods[rng.random_range(0..3)])
+            }
+        };
+        world.act(act);
+    }
+    let calm = world.now + 1000 * MS;
+    world.run_to(calm);
+    world.act(Act::Mood(Mood::Speaks));
+    world.act(Act::Slow(MS));
+    let end = world.now + 20_000 * MS;
+    world.run_to(end);
+    world.audit()
+}
+
+#[test]
+fn no_drain_is_heard_later_than_a_new_watch_would_have_told_it() {
+    for seed in 0..1500 {
+        let faults = day(seed, figures());
+        assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
+    }
+}
+
+#[test]
+fn the_auditor_finds_a_follower_that_waits_for_a_silent_watch() {
+    // As it was: 7 s to give a silent watch up, with no other beside it.
+    let old = Figures { late: Span(7000 * MS), ..figures() };
+    let found = (0..200).filter(|seed| !day(*seed, old).is_empty()).count();
+    assert!(found > 20, "only {found} of 200 days show it");
+}
+
+#[test]
+fn a_line_cut_at_any_byte_is_told_again_whole() {
+    let mut cut = 0;
+    loop {
+        let mut world = World::new(cut as u64, figures());
+        for n in 0..3 {
+            world.act(Act::List(format!("s{n}"), State::Ready, 0, n));
+        }
+        world.run_to(START + 100 * MS);
+        world.act(Act::Cut(cut));
+        world.act(Act::List("s1".into(), State::Draining, 0, 1));
+        let length = world.json(world.rev - 1, false).len();
+        world.run_to(START + 1000 * MS);
+        assert_eq!(world.usable.keys().collect::<Vec<_>>(), ["s0", "s2"], "cut after {cut} bytes");
+        assert!(world.audit().is_empty(), "cut after {cut} bytes: {:?}", world.audit());
+        cut += 1;
+        if cut == length {
+            return;
+        }
+    }
+}
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -3,13 +3,14 @@
 //! `EDGE_CONFIG` names a JSON file. `EDGE_NAME`, `EDGE_LISTEN` and `EDGE_DISCOVERY` go before its keys of the
 //! same meaning. Unknown keys are passed over; each message names the key at fault.
 
-use crate::message::{Entry, Listing};
 use anyhow::{Context, Result, anyhow, bail};
 use dunlincleat::api::Span;
+use dunlincleat_directory::{Figures, Listing};
 use dunlincleat_settings::Site;
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -74,10 +75,10 @@
     pub accept_after_term: Duration,
     /// How long after SIGTERM the process ends at the latest.
     pub end_after_term: Duration,
-    /// The first and the longest wait before discovery is called again.
-    pub watch_again: (Duration, Duration),
-    /// A watch from which not even an empty line comes for this long is made anew.
-    pub watch_silence: Duration,
+    /// The times by which discovery is followed.
+    pub watch: Figures,
+    /// The file in which the list is kept, where a disk lasts.
+    pub list_file: Option<PathBuf>,
 }
 
 impl Config {
@@ -141,7 +142,7 @@
         let settings = file.remove("settings").context("EDGE_CONFIG: settings is missing")?;
         let site = dunlincleat_settings::read_value(settings).context("EDGE_CONFIG")?;
         let known = match file.remove("known") {
-            None | Some(Value::Null) => Listing { rev: 0, whole: true, entries: Vec::<Entry>::new() },
+            None | Some(Value::Null) => Listing { whole: true, ..Listing::default() },
             Some(known) => Listing::from_value(known).context("EDGE_CONFIG: known")?,
         };
         let limits = match file.remove("limits") {
@@ -204,6 +205,27 @@
                 limits.sockets
             );
         }
+        let watch = {
+            let ms = |ms: u64| Span(ms * 1000);
+            let heartbeat = ms(number("watch_heartbeat_ms", 2000, 1)?);
+            let told = ms(number("watch_told_within_ms", 6000, 1)?);
+            let derived = Figures::derive(heartbeat, told, site.drain_grace.unwrap_or_default());
+            Figures {
+                late: ms(number("watch_silence_ms", derived.late.0 / 1000, 1)?),
+                call: ms(number("watch_call_ms", derived.call.0 / 1000, 1)?),
+                again: (
+                    ms(number("watch_again_ms", derived.again.0.0 / 1000, 1)?),
+                    ms(number("watch_again_most_ms", derived.again.1.0 / 1000, 1)?),
+                ),
+                renew: ms(number("watch_renew_ms", 0, 0)?),
+                ..derived
+            }
+        };
+        let list_file = match own.get("list_file") {
+            None => None,
+            Some(Value::String(path)) if !path.is_empty() => Some(PathBuf::from(path)),
+            Some(other) => bail!("EDGE_CONFIG: sidecar.list_file: {other} is no path"),
+        };
         let ms = |span: Span| span.0 / 1000;
         let classes = &site.settings.classes;
         let longest = classes.iter().map(|c| ms(c.deadline)).max().unwrap_or(0);
@@ -231,8 +253,8 @@
             answer_stall: millis("answer_stall_ms", (aim / 4).max(1), 1)?,
             accept_after_term: millis("accept_after_term_ms", 600, 0)?,
             end_after_term: millis("end_after_term_ms", longest + 600, 1)?,
-            watch_again: (millis("watch_again_ms", 50, 1)?, millis("watch_again_most_ms", 2000, 1)?),
-            watch_silence: millis("watch_silence_ms", 7000, 1)?,
+            watch,
+            list_file,
         })
     }
 }
--- a/crates/sidecar/src/line.rs
+++ b/crates/sidecar/src/line.rs
@@ -1,5 +1,5 @@
 //! A connection to a server: the thin I/O under awc, which does what awc can't. It keeps to the bound on
-//! descriptors and to a drain's grace, counts what was written, and frames what is read.
+//! descriptors and to drains, counts what was written, and frames what is read.
 
 use crate::config::Own;
 use crate::frame::{Frame, Spoilt};
@@ -37,11 +37,11 @@
 
 impl std::error::Error for Unsent {}
 
-/// When sends to a server must have ended, as it leaves.
+/// Whether sends to a server may begin.
 #[derive(Default)]
 pub struct Gate {
-    /// None while the server stays.
-    pub closes: Cell<Option<Instant>>,
+    /// The server leaves: nothing new may begin there.
+    pub closed: Cell<bool>,
 }
 
 /// What is seen of a connection from outside awc, which owns it.
@@ -54,6 +54,8 @@
     whole: Cell<bool>,
     /// Why it is of no use.
     spoilt: Cell<Option<Spoilt>>,
+    /// The present request was taken back before it began.
+    withdrawn: Cell<bool>,
     /// Bytes came that belong to no answer: what comes next could be read as another request's answer.
     stray: Cell<bool>,
 }
@@ -62,10 +64,26 @@
     /// Begins a new request.
     pub fn begin(&self) {
         self.sent.set(0);
+        self.withdrawn.set(false);
         self.whole.set(false);
         self.spoilt.set(None);
     }
 
+    /// Nothing of the present request was written.
+    pub fn unsent(&self) -> bool {
+        self.sent.get() == 0
+    }
+
+    /// Takes the present request back, which has not begun.
+    pub fn withdraw(&self) {
+        self.withdrawn.set(true);
+    }
+
+    /// Whether the present request was taken back.
+    pub fn withdrawn(&self) -> bool {
+        self.withdrawn.get()
+    }
+
     /// The answer came to its end.
     pub fn whole(&self) -> bool {
         self.whole.get()
@@ -274,9 +292,9 @@
         if self.wire.sent.get() == 0 {
             self.frame.expect();
         }
-        // Guards the drain: an attempt that waited for its connection must not begin after the grace.
-        if self.wire.sent.get() == 0 && self.gate.closes.get().is_some_and(|at| Instant::now() >= at) {
-            return Poll::Ready(Err(io::Error::other(Unsent("the server leaves and its grace is over"))));
+        // Guards the drain: an attempt that waited for its connection must not begin once the server leaves.
+        if self.wire.sent.get() == 0 && self.gate.closed.get() {
+            return Poll::Ready(Err(io::Error::other(Unsent("the server leaves"))));
         }
         loop {
             ready!(self.stream.poll_write_ready(cx))?;
--- a/crates/sidecar/src/list.rs
+++ b/crates/sidecar/src/list.rs
@@ -1,25 +1,32 @@
-//! The actor that follows discovery: it keeps a watch open and tells the module what it hears.
+//! The actor that follows discovery: the thin shell around `Follower`, which decides which watches to open. It owns
+//! one task a watch, dropped with its entry in `tasks`, and tells the module what the list has become.
 
+use crate::clock::Clock;
 use crate::config::Own;
-use crate::message::{Listing, list_uri, read_body, watch_uri};
+use crate::message::{Cut, list_uri, read_body, watch_uri};
 use crate::module;
+use anyhow::Context;
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, ClientResponse};
-use dunlincleat::api::Discovery;
+use dunlincleat_directory::lines::LINE_BYTES;
+use dunlincleat_directory::{
+    Ask, Cause, Delivery, Follower, Input, Lines, Listing, Output, Snapshot, WatchId,
+};
 use futures_util::StreamExt;
-use futures_util::future::{LocalBoxFuture, OptionFuture};
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
-use std::collections::VecDeque;
+use rustc_hash::FxHashMap;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep_until};
 
-/// The longest line of a watch.
-const LINE_BYTES: usize = 4 << 20;
-/// How long discovery may take to accept a connection.
-const CONNECT: Duration = Duration::from_secs(1);
+/// Lines of all watches that wait to be taken in; a watch that floods is read no faster.
+const WAITING: usize = 16;
+/// The file of the list is replaced at most this often.
+const KEEP: Duration = Duration::from_secs(2);
 
 /// What the actor is told.
 pub enum Msg {
@@ -31,178 +38,197 @@
 
 /// The actor.
 pub struct List {
-    /// Where discovery answers.
-    pub discovery: SocketAddr,
-    /// How lists come.
-    pub mode: Discovery,
-    /// The version of the list held.
-    pub rev: u64,
-    /// For the jitter of its waits.
-    pub seed: u64,
-    /// The sidecar's own figures.
-    pub own: Rc<Own>,
-    /// The module's mailbox.
-    pub module: module::Handle,
+    follower: Follower,
+    clock: Clock,
+    own: Rc<Own>,
+    module: module::Handle,
+    client: Client,
+    tasks: FxHashMap<WatchId, Task>,
+    heard: mpsc::Sender<Input>,
+    /// The list that is to be kept on disk, and when it may next be written there.
+    unkept: bool,
+    keep_at: Instant,
 }
 
-/// A watch just opened, and the whole list from its address where that was asked for.
-type Opened = Result<(Option<Listing>, Followed), String>;
+/// The task that reads a watch. Dropping it ends the watch and closes its connection.
+struct Task(JoinHandle<()>);
 
-impl List {
-    /// Starts the actor behind its mailbox.
-    pub fn start(self, mailbox: mpsc::UnboundedReceiver<Msg>) {
-        actix_rt::spawn(self.run(mailbox));
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
     }
+}
 
-    async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<Msg>) {
-        let mut rng = SmallRng::seed_from_u64(self.seed);
-        let connector = awc::Connector::new().timeout(CONNECT);
+impl List {
+    /// Starts the actor behind its mailbox, from the list as last held.
+    pub fn start(
+        follower: Follower,
+        clock: Clock,
+        own: Rc<Own>,
+        module: module::Handle,
+        mailbox: mpsc::UnboundedReceiver<Msg>,
+    ) {
+        let (heard, hearing) = mpsc::channel(WAITING);
+        // A call is ended by the follower, when its time is over.
+        let connector = awc::Connector::new().timeout(Duration::from_secs(1 << 30));
         let client = Client::builder().connector(connector).disable_timeout().disable_redirects().finish();
-        let mut failures = 0_u32;
-        // The watch that is followed, the one that is being opened, and when to open the next. A move keeps the
-        // old watch until the new one stands, so that nothing is missed in between.
-        let mut followed: Option<Followed> = None;
-        let mut opening: Option<LocalBoxFuture<'static, Opened>> = None;
-        let mut again = (self.mode == Discovery::Pushed).then(Instant::now);
-        let mut moved = false;
+        let (tasks, keep_at) = (FxHashMap::default(), Instant::now());
+        let list = List { follower, clock, own, module, client, tasks, heard, unkept: false, keep_at };
+        actix_rt::spawn(list.run(mailbox, hearing));
+    }
+
+    async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<Msg>, mut hearing: mpsc::Receiver<Input>) {
+        let mut out = Vec::new();
         loop {
-            let why = tokio::select! {
+            self.follower.wake(self.clock.now(), &mut out);
+            self.carry_out(&mut out);
+            self.module.list_state(self.follower.health());
+            let due = self.follower.due().map(|at| self.clock.instant(at));
+            let keep = self.unkept.then_some(self.keep_at);
+            let input = tokio::select! {
                 biased;
                 msg = mailbox.recv() => match msg {
                     None => return,
-                    Some(Msg::Watch) => {
-                        // The module says when to call, also again after a call failed.
-                        if followed.is_none() && opening.is_none() && !moved {
-                            opening = Some(self.open(&client, false));
-                        }
-                        continue;
-                    }
-                    Some(Msg::Moved(discovery)) => {
-                        (self.discovery, moved, again, failures) = (discovery, true, None, 0);
-                        opening = Some(self.open(&client, true));
-                        continue;
-                    }
-                },
-                Some(opened) = OptionFuture::from(opening.as_mut()) => {
-                    opening = None;
-                    match opened {
-                        Ok((whole, watch)) => {
-                            if let Some(listing) = whole {
-                                self.take(listing);
-                            }
-                            log::info!("watch of discovery at {} open after revision {}", self.discovery, self.rev);
-                            (followed, moved) = (Some(watch), false);
-                            continue;
-                        }
-                        Err(why) => why,
-                    }
+                    Some(Msg::Watch) => Input::Wanted,
+                    Some(Msg::Moved(discovery)) => Input::Moved(discovery),
                 },
-                Some(heard) = OptionFuture::from(followed.as_mut().map(|f| f.next(self.own.watch_silence))) => {
-                    match heard {
-                        Ok(listing) => {
-                            failures = 0;
-                            listing.into_iter().for_each(|listing| self.take(listing));
-                            continue;
-                        }
-                        Err(why) => {
-                            followed = None;
-                            // After a move the old watch is due to end; the new one is on its way.
-                            if moved {
-                                continue;
-                            }
-                            why
-                        }
-                    }
-                },
-                () = sleep_until(again.unwrap_or_else(Instant::now)), if again.is_some() => {
-                    again = None;
-                    opening = Some(self.open(&client, moved));
+                Some(input) = hearing.recv() => input,
+                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => continue,
+                () = sleep_until(self.keep_at), if keep.is_some() => {
+                    self.keep();
                     continue;
-                },
+                }
             };
-            failures = failures.saturating_add(1);
-            // One warning an outage: the next line of its kind says that a watch is open again.
-            let level = if failures == 1 { log::Level::Warn } else { log::Level::Debug };
-            log::log!(level, "no watch of discovery at {}: {why}", self.discovery);
-            if self.mode == Discovery::OnRequest && !moved {
-                self.module.list_failed();
-            } else {
-                let (first, most) = self.own.watch_again;
-                let wait = first.saturating_mul(1 << (failures - 1).min(16)).min(most);
-                again = Some(Instant::now() + wait.mul_f64(rng.random_range(0.5..1.0)));
+            if let Input::Ended(watch, cause) = &input {
+                log::debug!("watch {} ended: {cause}", watch.0);
+                self.tasks.remove(watch);
             }
+            self.follower.input(self.clock.now(), input, &mut out);
         }
     }
 
-    /// Opens a watch for what comes after the list held. At a new address versions may count differently: there
-    /// the whole list is asked for first.
-    fn open(&self, client: &Client, whole_first: bool) -> LocalBoxFuture<'static, Opened> {
-        let (client, discovery, rev) = (client.clone(), self.discovery, self.rev);
-        let silence = self.own.watch_silence;
-        let call = async move |uri: String| match timeout(silence, client.get(uri).send()).await {
-            Ok(Ok(answer)) if answer.status().is_success() => Ok(answer),
-            Ok(Ok(answer)) => Err(format!("refused with {}", answer.status())),
-            Ok(Err(error)) => Err(error.to_string()),
-            Err(_) => Err("no answer".to_owned()),
-        };
-        Box::pin(async move {
-            let whole = if whole_first {
-                let mut answer = call(list_uri(discovery)).await?;
-                let body = timeout(silence, read_body(&mut answer, LINE_BYTES)).await;
-                let body = body.map_err(|_| "no whole list".to_owned())?.map_err(|cut| format!("{cut:?}"))?;
-                let listing =
-                    Listing::decode(&body).map_err(|e| format!("it sent what is no list: {e:#}"))?;
-                Some(Listing { whole: true, ..listing })
-            } else {
-                None
-            };
-            let answer = call(watch_uri(discovery, whole.as_ref().map_or(rev, |l| l.rev))).await?;
-            Ok((whole, Followed { answer, line: Vec::new(), heard: VecDeque::new() }))
-        })
+    fn carry_out(&mut self, out: &mut Vec<Output>) {
+        for output in out.drain(..) {
+            match output {
+                Output::Open { watch, at, ask } => {
+                    log::debug!("watch {} of discovery at {at} opens: {ask:?}", watch.0);
+                    let (client, heard) = (self.client.clone(), self.heard.clone());
+                    let task = actix_rt::spawn(async move {
+                        let cause = watched(&client, watch, at, ask, &heard).await;
+                        // The actor ends with the process.
+                        let _ = heard.send(Input::Ended(watch, cause)).await;
+                    });
+                    self.tasks.insert(watch, Task(task));
+                }
+                Output::Close(watch) => drop(self.tasks.remove(&watch)),
+                Output::Deliver(delivery) => self.deliver(delivery),
+                Output::Failed => self.module.list_failed(),
+                // One warning an outage: the next line of its kind says that a watch is followed again.
+                Output::Lost { at, why } => log::warn!("no watch of discovery at {at}: {why}"),
+                Output::Followed { at, rev, unheard } => {
+                    log::info!(
+                        "watch of discovery at {at} open after revision {rev}, unheard for {} ms",
+                        unheard.0 / 1000
+                    );
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        delivery.odd.iter().for_each(|odd| log::warn!("{odd}"));
+        self.unkept = self.own.list_file.is_some();
+        self.module.listed(delivery);
     }
 
-    /// The next watch starts after the last version understood, so nothing is missed.
-    fn take(&mut self, listing: Listing) {
-        self.rev = listing.rev;
-        self.module.listed(listing);
+    /// Writes the list as held to its file, off this thread.
+    fn keep(&mut self) {
+        (self.unkept, self.keep_at) = (false, Instant::now() + KEEP);
+        let Some(path) = self.own.list_file.clone() else { return };
+        let fresh_at = self.follower.health().fresh_at;
+        let bytes = Snapshot { fresh_at, listing: self.follower.book().listing() }.encode();
+        tokio::task::spawn_blocking(move || {
+            if let Err(error) = replace(&path, &bytes) {
+                log::warn!("list not kept in {}: {error:#}", path.display());
+            }
+        });
     }
 }
 
-/// An open watch.
-struct Followed {
-    answer: ClientResponse,
-    /// The line that is being read.
-    line: Vec<u8>,
-    /// Lists read and not yet handed on.
-    heard: VecDeque<Listing>,
+/// Replaces a file in one step: whoever reads it finds the old or the new one, whole.
+fn replace(path: &Path, bytes: &[u8]) -> anyhow::Result<()> {
+    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    let new = PathBuf::from(format!("{}.new", path.display()));
+    let mut file = std::fs::File::create(&new).with_context(|| new.display().to_string())?;
+    file.write_all(bytes)?;
+    file.sync_all()?;
+    std::fs::rename(&new, path)?;
+    // Without this the new name may be gone after a loss of power.
+    Ok(std::fs::File::open(folder)?.sync_all()?)
 }
 
-impl Followed {
-    /// The next list, or nothing after a sign of life; an error where the watch is over. Dropped while it
-    /// waits, it loses nothing.
-    async fn next(&mut self, silence: Duration) -> Result<Option<Listing>, String> {
-        if let Some(listing) = self.heard.pop_front() {
-            return Ok(Some(listing));
-        }
-        let part = match timeout(silence, self.answer.next()).await {
-            Ok(Some(Ok(part))) => part,
-            Ok(Some(Err(error))) => return Err(format!("it broke: {error}")),
-            Ok(None) => return Err("it ended".to_owned()),
-            Err(_) => return Err(format!("silent for {silence:?}")),
-        };
-        for piece in part.split_inclusive(|b| *b == b'\n') {
-            self.line.extend_from_slice(piece);
-            if self.line.len() > LINE_BYTES {
-                return Err(format!("a line over {LINE_BYTES} bytes"));
-            }
-            if self.line.ends_with(b"\n") {
-                if !self.line.trim_ascii().is_empty() {
-                    let listing = Listing::decode(&self.line);
-                    self.heard.push_back(listing.map_err(|e| format!("it sent what is no list: {e:#}"))?);
+/// Opens a watch and tells what comes on it, until it ends.
+async fn watched(
+    client: &Client,
+    watch: WatchId,
+    at: SocketAddr,
+    ask: Ask,
+    heard: &mpsc::Sender<Input>,
+) -> Cause {
+    let follow = async {
+        let after = match ask {
+            Ask::After(rev) => rev,
+            Ask::Whole | Ask::Check => {
+                let mut answer = call(client, list_uri(at)).await?;
+                let body = read_body(&mut answer, LINE_BYTES).await.map_err(|cut| match cut {
+                    Cut::Broken => Cause::Broke("within the whole list".to_owned()),
+                    Cut::TooLong => Cause::TooLong,
+                })?;
+                let listing = Listing { whole: true, ..decode(&body)? };
+                let rev = listing.rev;
+                tell(heard, Input::Line(watch, Some(listing))).await?;
+                if ask == Ask::Check {
+                    return Ok(());
                 }
-                self.line.clear();
+                rev
+            }
+        };
+        let mut answer = call(client, watch_uri(at, after)).await?;
+        tell(heard, Input::Opened(watch)).await?;
+        let mut lines = Lines::default();
+        loop {
+            let part = match answer.next().await {
+                Some(Ok(part)) => part,
+                Some(Err(error)) => return Err(Cause::Broke(error.to_string())),
+                None => return Err(Cause::Ended),
+            };
+            for line in lines.take(&part).map_err(|_| Cause::TooLong)? {
+                let listing = if line.is_empty() { None } else { Some(decode(&line)?) };
+                tell(heard, Input::Line(watch, listing)).await?;
             }
         }
-        Ok(self.heard.pop_front())
+    };
+    let ended: Result<(), Cause> = follow.await;
+    // A check that has come ends by itself.
+    ended.err().unwrap_or(Cause::Ended)
+}
+
+async fn tell(heard: &mpsc::Sender<Input>, input: Input) -> Result<(), Cause> {
+    heard.send(input).await.map_err(|_| Cause::Ended)
+}
+
+fn decode(line: &[u8]) -> Result<Listing, Cause> {
+    Listing::decode(line).map_err(|error| Cause::Garbled(format!("{error:#}")))
+}
+
+async fn call(client: &Client, uri: String) -> Result<ClientResponse, Cause> {
+    match client.get(uri).send().await {
+        Ok(answer) if answer.status().is_success() => Ok(answer),
+        Ok(answer) => Err(Cause::Refused(answer.status().as_u16())),
+        Err(error @ SendRequestError::Connect(ConnectError::Disconnected)) => {
+            Err(Cause::Broke(error.to_string()))
+        }
+        Err(SendRequestError::Connect(error)) => Err(Cause::Unreachable(error.to_string())),
+        Err(error) => Err(Cause::Broke(error.to_string())),
     }
 }
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -4,6 +4,7 @@
 
 #![forbid(unsafe_code)]
 
+mod clock;
 mod config;
 mod frame;
 mod front;
@@ -15,13 +16,13 @@
 mod peer;
 
 use anyhow::{Context, Result, anyhow};
-use config::Config;
-use dunlincleat::api::{Reports, Span};
+use config::{Config, Own};
+use dunlincleat::api::{Reports, Time};
+use dunlincleat_directory::{Follower, Listing, Snapshot};
 use front::Stage;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -47,27 +48,22 @@
     let (site, own) = (config.site.clone(), config.own.clone());
     let (handle, mailbox) = module::mailbox();
     let (list, list_mailbox) = mpsc::unbounded_channel();
-    let follower = list::List {
-        discovery: config.discovery,
-        mode: site.settings.discovery,
-        rev: config.known.rev,
-        seed: config.seed,
-        own: own.clone(),
-        module: handle.clone(),
-    };
-    follower.start(list_mailbox);
+    let clock = clock::Clock::new();
+    let known = kept_list(&own, std::mem::take(&mut config.known), clock.now());
+    let mode = site.settings.discovery;
+    let (follower, known) = Follower::new(clock.now(), own.watch, mode, config.discovery, config.seed, known);
+    list::List::start(follower, clock, own.clone(), handle.clone(), list_mailbox);
     let peers = peer::Common {
         own: own.clone(),
         fields: site.fields.clone().into(),
         load_probes: site.settings.reports != Reports::Off,
-        grace: site.drain_grace.map_or(Duration::ZERO, |Span(us)| Duration::from_micros(us)),
         sockets: Arc::new(Semaphore::new(own.server_connections)),
         full: Rc::default(),
         spoilt: Rc::default(),
         module: handle.clone(),
     };
-    let module = module::Module::new(site.clone(), config.seed, peers, list.clone());
-    let mut module = actix_rt::spawn(module.run(mailbox, std::mem::take(&mut config.known)));
+    let module = module::Module::new(site.clone(), config.seed, clock, peers, list.clone());
+    let mut module = actix_rt::spawn(module.run(mailbox, known));
     let (stage, stages) = watch::channel(Stage::Serving);
     let mut front = actix_rt::spawn(front::serve(config.listen, site, own.clone(), handle, stages));
     loop {
@@ -115,3 +111,29 @@
         let _ = list.send(list::Msg::Moved(new.discovery));
     }
 }
+
+/// The list to start from: the one that was kept on disk, where that is of a later version than the one told.
+fn kept_list(own: &Own, told: Listing, now: Time) -> Listing {
+    let Some(path) = &own.list_file else { return told };
+    let read = match std::fs::read(path) {
+        Ok(bytes) => Snapshot::decode(&bytes),
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return told,
+        Err(error) => Err(error.into()),
+    };
+    match read {
+        Ok(kept) if kept.listing.rev > told.rev => {
+            let (rev, age) = (kept.listing.rev, kept.age(now).0 / 1_000_000);
+            log::info!("list kept in {}: revision {rev}, {age} s old", path.display());
+            kept.listing
+        }
+        Ok(kept) => {
+            let (rev, told_rev) = (kept.listing.rev, told.rev);
+            log::info!("list kept in {}: revision {rev} is not used, {told_rev} was told", path.display());
+            told
+        }
+        Err(error) => {
+            log::warn!("list kept in {} is not used: {error:#}", path.display());
+            told
+        }
+    }
+}
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -2,13 +2,11 @@
 
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, Response, StatusCode};
-use anyhow::{Context, Result};
 use awc::http::Uri;
 use bytes::{Bytes, BytesMut};
-use dunlincleat::api::{Effect, Span, State, Status};
+use dunlincleat::api::{Effect, Span, Status};
 use dunlincleat_settings::Site;
 use futures_util::{Stream, StreamExt};
-use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -280,110 +278,6 @@
     Ok(whole.freeze())
 }
 
-/// A list of servers, or changes to one.
-#[derive(Default)]
-pub struct Listing {
-    /// Its version.
-    pub rev: u64,
-    /// It is the whole list.
-    pub whole: bool,
-    /// Its entries, in order.
-    pub entries: Vec<Entry>,
-}
-
-/// A server of a list.
-pub struct Entry {
-    /// Its name, the same at every sidecar.
-    pub uid: String,
-    /// Where it is reached; entries of servers that are gone may do without.
-    pub endpoint: Option<SocketAddr>,
-    /// The name of its zone.
-    pub zone: String,
-    /// Its cell.
-    pub cell: u32,
-    /// Whether it takes new work.
-    pub state: State,
-    /// Its size against that of others.
-    pub weight: f64,
-    /// When it last started, in milliseconds of Unix time; 0 for long ago.
-    pub boot_ms: u64,
-}
-
-#[derive(Deserialize)]
-struct RawListing {
-    #[serde(default)]
-    rev: u64,
-    #[serde(default)]
-    all: bool,
-    targets: Vec<RawEntry>,
-}
-
-#[derive(Deserialize)]
-struct RawEntry {
-    uid: String,
-    #[serde(default)]
-    endpoint: String,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    pod_group: u32,
-    state: String,
-    #[serde(default)]
-    capacity_hint: Option<f64>,
-    #[serde(default)]
-    boot_ms: f64,
-}
-
-impl Listing {
-    /// Reads a line of a watch. An entry that can't be read is passed over, so that it keeps no other back.
-    pub fn decode(line: &[u8]) -> Result<Listing> {
-        let raw: RawListing = serde_json::from_slice(line)?;
-        let readable =
-            |raw| Entry::from_raw(raw).inspect_err(|e| log::warn!("entry passed over: {e:#}")).ok();
-        let entries = raw.targets.into_iter().filter_map(readable).collect();
-        Ok(Listing { rev: raw.rev, whole: raw.all, entries })
-    }
-
-    /// Reads the list in the configuration, where each fault is one to be told.
-    pub fn from_value(value: Value) -> Result<Listing> {
-        let raw: RawListing = serde_json::from_value(value)?;
-        let entries = raw.targets.into_iter().map(Entry::from_raw).collect::<Result<_>>()?;
-        Ok(Listing { rev: raw.rev, whole: raw.all, entries })
-    }
-}
-
-impl Entry {
-    fn from_raw(raw: RawEntry) -> Result<Entry> {
-        let state = match raw.state.as_str() {
-            "up" => State::Ready,
-            "draining" => State::Draining,
-            "removed" => State::Gone,
-            other => {
-                // Nothing new is sent to a server of which it is not known that it wants any.
-                log::warn!("server {}: unknown state '{other}', taken as draining", raw.uid);
-                State::Draining
-            }
-        };
-        let endpoint = match raw.endpoint.parse() {
-            Ok(address) => Some(address),
-            Err(_) if state == State::Gone => None,
-            Err(error) => {
-                return Err(error)
-                    .with_context(|| format!("server {}: endpoint '{}'", raw.uid, raw.endpoint));
-            }
-        };
-        Ok(Entry {
-            uid: raw.uid,
-            endpoint,
-            zone: raw.az,
-            cell: raw.pod_group,
-            state,
-            weight: raw.capacity_hint.unwrap_or(1.0),
-            boot_ms: raw.boot_ms.max(0.0) as u64,
-        })
-    }
-}
-
 /// The address of the whole list.
 pub fn list_uri(discovery: SocketAddr) -> String {
     format!("http://{discovery}/v1/servers")
--- a/crates/sidecar/src/module.rs
+++ b/crates/sidecar/src/module.rs
@@ -1,19 +1,21 @@
 //! The actor that owns the decision module: its clock, its timers and the table of requests. It hands events
 //! to the module and carries its actions out; it decides nothing itself.
 
+use crate::clock::Clock;
 use crate::list;
-use crate::message::{Answer, Listing, Request};
+use crate::message::{Answer, Request};
 use crate::peer::{self, Ended};
 use dunlincleat::Balancer;
 use dunlincleat::api::{
     Action, Attempt, Event, ListKind, Member, RequestId, ServerId, Span, State, Status, Time, Token,
 };
+use dunlincleat_directory::{Cause, Delivery, Health};
 use dunlincleat_settings::{Site, common_name};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
@@ -26,8 +28,9 @@
     Gone { id: RequestId },
     Ended { id: RequestId, attempt: Attempt, server: ServerId, ended: Ended },
     Probed { server: ServerId, ended: Ended },
-    Listed { listing: Listing },
+    Listed { delivery: Delivery },
     ListFailed,
+    ListState { health: Health },
 }
 
 /// The actor's mailbox. It holds no more than the requests in hand bring: the front bounds those, each has at
@@ -70,9 +73,14 @@
         self.tell(Msg::Probed { server, ended });
     }
 
-    /// Discovery sent a list or changes.
-    pub fn listed(&self, listing: Listing) {
-        self.tell(Msg::Listed { listing });
+    /// The list changed or was told again.
+    pub fn listed(&self, delivery: Delivery) {
+        self.tell(Msg::Listed { delivery });
+    }
+
+    /// How fresh the list is, for the log.
+    pub fn list_state(&self, health: Health) {
+        self.tell(Msg::ListState { health });
     }
 
     /// A call of discovery failed, or the watch ended.
@@ -81,28 +89,6 @@
     }
 }
 
-/// The clock that the module reads: microseconds that never go back, counted on from the Unix time at the
-/// start, so that the start of a server in a list can be set against it.
-struct Clock {
-    start: Instant,
-    unix: u64,
-}
-
-impl Clock {
-    fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: unix.as_micros() as u64 }
-    }
-
-    fn time(&self, at: Instant) -> Time {
-        Time(self.unix + at.saturating_duration_since(self.start).as_micros() as u64)
-    }
-
-    fn instant(&self, time: Time) -> Instant {
-        self.start + Duration::from_micros(time.0.saturating_sub(self.unix))
-    }
-}
-
 /// A request that is owed an answer, or whose attempts are not all over.
 struct Entry {
     request: Rc<Request>,
@@ -155,6 +141,9 @@
     remembered: Duration,
     actions: Vec<Action>,
     tally: Tally,
+    /// The list's state, and as it was when the log last summed up.
+    health: Health,
+    summed: Health,
 }
 
 impl Module {
@@ -162,6 +151,7 @@
     pub fn new(
         site: Rc<Site>,
         seed: u64,
+        clock: Clock,
         peers: peer::Common,
         list: mpsc::UnboundedSender<list::Msg>,
     ) -> Module {
@@ -176,7 +166,7 @@
             free: Vec::new(),
             balancer: Balancer::new(settings, seed),
             site,
-            clock: Clock::new(),
+            clock,
             peers,
             list,
             timers: BinaryHeap::new(),
@@ -186,13 +176,15 @@
             by_uid: FxHashMap::default(),
             actions: Vec::new(),
             tally: Tally::default(),
+            health: Health::default(),
+            summed: Health::default(),
         }
     }
 
     /// Runs the actor from the list as last held.
-    pub async fn run(mut self, mut mailbox: Mailbox, known: Listing) {
+    pub async fn run(mut self, mut mailbox: Mailbox, known: Delivery) {
         // With this event the module makes its first call of discovery, so the way there must stand.
-        self.listed(ListKind::Cached, &known);
+        self.listed(&known);
         let mut sum_up = Instant::now() + SUM_UP;
         loop {
             let due = self.timers.peek().map(|Reverse((at, _, _))| *at);
@@ -227,6 +219,23 @@
                 waited.as_micros()
             );
         }
+        let (health, before) = (self.health, std::mem::replace(&mut self.summed, self.health));
+        // The last sign of life is at most a heartbeat old while discovery speaks.
+        let age = (self.clock.now() - health.fresh_at).0 / 1000;
+        let ended = Cause::NAMES.iter().zip(health.ended.iter().zip(before.ended));
+        let ended: String = ended
+            .filter(|(_, (now, before))| **now > *before)
+            .map(|(name, (now, before))| format!(", {name} {}", now - before))
+            .collect();
+        log::info!(
+            "list: revision {}, {} up, all told until {age} ms ago known, longest unheard {} ms; {} watches, {} \
+             opened{ended}",
+            health.rev,
+            health.ready,
+            health.longest_unheard.0 / 1000,
+            health.watches,
+            health.opened - before.opened,
+        );
     }
 
     fn fire(&mut self) {
@@ -273,10 +282,8 @@
                 let latency = Span(ended.latency.as_micros() as u64);
                 self.event(Event::Probed { server, status: ended.status, latency, load: &ended.load });
             }
-            Msg::Listed { listing } => {
-                let kind = if listing.whole { ListKind::Whole } else { ListKind::Changes };
-                self.listed(kind, &listing);
-            }
+            Msg::Listed { delivery } => self.listed(&delivery),
+            Msg::ListState { health } => self.health = health,
             Msg::ListFailed => self.event(Event::Members { kind: ListKind::Failed, entries: &[] }),
         }
     }
@@ -345,7 +352,8 @@
         }
     }
 
-    fn listed(&mut self, kind: ListKind, listing: &Listing) {
+    fn listed(&mut self, listing: &Delivery) {
+        let kind = listing.kind;
         self.clear_out();
         let mut members = Vec::with_capacity(listing.entries.len());
         for entry in &listing.entries {
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -88,8 +88,6 @@
     pub fields: Rc<[String]>,
     /// Servers answer `/load` with a report.
     pub load_probes: bool,
-    /// How long sends may go on after the news that a server leaves.
-    pub grace: Duration,
     /// Connections to servers that may still be opened.
     pub sockets: Arc<Semaphore>,
     /// The line of the log for attempts that found no place among those.
@@ -155,7 +153,8 @@
     /// Idle connections, the last used at the end.
     idle: Vec<Line>,
     out: FuturesUnordered<Job>,
-    aborts: FxHashMap<(RequestId, Attempt), AbortHandle>,
+    /// What ends an attempt, and whether it has begun.
+    aborts: FxHashMap<(RequestId, Attempt), (AbortHandle, Rc<Wire>)>,
 }
 
 impl Peer {
@@ -184,13 +183,14 @@
                 let line = self.line();
                 let (endpoint, common) = (self.endpoint, self.common.clone());
                 let (abort, registration) = AbortHandle::new_pair();
-                self.aborts.insert((id, attempt), abort);
+                self.aborts.insert((id, attempt), (abort, line.wire.clone()));
                 let started = Instant::now();
                 self.out.push(Box::pin(async move {
                     let wire = line.wire.clone();
                     let sending = send(line, endpoint, &request, until, &common);
                     let (mut ended, line) = match Abortable::new(sending, registration).await {
                         Ok(end) => end,
+                        Err(Aborted) if wire.withdrawn() => (Ended::unsent(Status::Moot), None),
                         Err(Aborted) => (Ended::unsent(wire.unless_sent(Status::Cancelled)), None),
                     };
                     ended.latency = started.elapsed();
@@ -198,7 +198,7 @@
                 }));
             }
             Msg::Cancel { id, attempt } => {
-                if let Some(abort) = self.aborts.get(&(id, attempt)) {
+                if let Some((abort, _)) = self.aborts.get(&(id, attempt)) {
                     abort.abort();
                 }
             }
@@ -228,13 +228,17 @@
         }
     }
 
+    /// A server that leaves gets nothing new from this moment on. Its drain may have been told long before it was
+    /// heard, so no grace is left to spend: what has not begun there ends as never sent, and is drawn again.
     fn listed(&mut self, state: State) {
-        let closes = match (state, self.gate.closes.get()) {
-            (State::Ready, _) => None,
-            (State::Draining | State::Gone, None) => Some(Instant::now() + self.common.grace),
-            (State::Draining | State::Gone, closes) => closes,
-        };
-        self.gate.closes.set(closes);
+        let leaves = state != State::Ready;
+        self.gate.closed.set(leaves);
+        if leaves {
+            for (abort, wire) in self.aborts.values().filter(|(_, wire)| wire.unsent()) {
+                wire.withdraw();
+                abort.abort();
+            }
+        }
     }
 
     fn done(&mut self, done: Done) {
--- a/src/api.rs
+++ b/src/api.rs
@@ -22,6 +22,13 @@
     }
 }
 
+impl Add for Span {
+    type Output = Span;
+    fn add(self, span: Span) -> Span {
+        Span(self.0.saturating_add(span.0))
+    }
+}
+
 impl Add<Span> for Time {
     type Output = Time;
     fn add(self, span: Span) -> Time {
