--- a/crates/directory/src/entry.rs
+++ b/crates/directory/src/entry.rs
@@ -29,6 +29,8 @@
     pub endpoint: Option<SocketAddr>,
     /// The name of its zone.
     pub zone: String,
+    /// The name of its model, empty where none was told.
+    pub model: String,
     /// Its cell.
     pub cell: u32,
     /// Whether it takes new work.
@@ -57,6 +59,8 @@
     #[serde(default)]
     az: String,
     #[serde(default)]
+    model: String,
+    #[serde(default)]
     pod_group: u32,
     state: String,
     #[serde(default)]
@@ -133,7 +137,8 @@
     /// One of which nothing is known but that it leaves.
     #[must_use]
     pub fn leaving(uid: String, state: State) -> Entry {
-        Entry { uid, endpoint: None, zone: String::new(), cell: 0, state, weight: 1.0, boot_ms: 0 }
+        let (zone, model) = (String::new(), String::new());
+        Entry { uid, endpoint: None, zone, model, cell: 0, state, weight: 1.0, boot_ms: 0 }
     }
 
     fn from_raw(raw: RawEntry) -> Result<Entry> {
@@ -150,6 +155,7 @@
             uid: raw.uid,
             endpoint,
             zone: raw.az,
+            model: raw.model,
             cell: raw.pod_group,
             state,
             weight: raw.capacity_hint.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(1.0),
@@ -162,6 +168,7 @@
             uid: self.uid.clone(),
             endpoint: self.endpoint.map(|e| e.to_string()).unwrap_or_default(),
             az: self.zone.clone(),
+            model: self.model.clone(),
             pod_group: self.cell,
             state: match self.state {
                 State::Ready => "up",
--- a/crates/sidecar/src/clock.rs
+++ b/crates/engine/src/clock.rs
@@ -1,4 +1,4 @@
-//! The clock that the module and the follower of discovery read: microseconds that never go back, counted on from
+//! The clock of the shells: microseconds that never go back, counted on from
 //! the Unix time at the start, so that the start of a server in a list can be set against it.
 
 use dunlincleat::api::Time;
--- a/crates/sidecar/src/front.rs
+++ b/crates/http/src/front.rs
@@ -1,10 +1,10 @@
 //! The server that the application speaks to: it accepts connections, takes requests, and gives each exactly
 //! one answer.
 
-use crate::config::Own;
-use crate::logger::Seldom;
-use crate::message::{Answer, HEALTH, Malformed, Request, read_body};
-use crate::module;
+use crate::message::{HEALTH, Malformed, Request, encode, read_body};
+use crate::own::Own;
+use crate::seldom::{Seldom, seldom};
+use crate::{Answer, Handle};
 use actix_http::error::DispatchError;
 use actix_http::header::HeaderValue;
 use actix_http::{HttpService, KeepAlive, Method, Response, StatusCode};
@@ -13,8 +13,8 @@
 use anyhow::{Context as _, Result, anyhow};
 use bytes::Bytes;
 use dunlincleat::api::RequestId;
+use dunlincleat_limits::RuleSet;
 use dunlincleat_settings::Site;
-use log::Level;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -54,11 +54,14 @@
     Closing,
 }
 
+/// The operator's limits, where there are any; replaced in one step by a reload.
+pub type Rules = watch::Receiver<Option<Arc<RuleSet>>>;
+
 /// What the handlers of requests share.
 struct Front {
     site: Rc<Site>,
     own: Rc<Own>,
-    module: module::Handle,
+    engine: Handle,
     clients: Rc<Clients>,
     /// Requests that may still be taken.
     requests: Arc<Semaphore>,
@@ -66,6 +69,8 @@
     ids: RefCell<FxHashSet<HeaderValue>>,
     next: Cell<u64>,
     stage: watch::Receiver<Stage>,
+    /// The operator's limits, where there are any.
+    rules: Rules,
     /// Lines of the log for requests refused at a bound, and for malformed ones.
     full: Seldom,
     malformed: Seldom,
@@ -76,8 +81,9 @@
     listen: SocketAddr,
     site: Rc<Site>,
     own: Rc<Own>,
-    module: module::Handle,
+    engine: Handle,
     mut stage: watch::Receiver<Stage>,
+    rules: Rules,
 ) -> Result<()> {
     let most = own.client_connections + OVER;
     let listener = bind(listen, most).with_context(|| format!("EDGE_LISTEN: {listen}"))?;
@@ -87,12 +93,13 @@
     let front = Rc::new(Front {
         site,
         own,
-        module,
+        engine,
         clients: clients.clone(),
         requests,
         ids: RefCell::default(),
         next: Cell::new(0),
         stage: stage.clone(),
+        rules,
         full: Seldom::default(),
         malformed: Seldom::default(),
     });
@@ -114,7 +121,7 @@
         .map_err(|()| anyhow!("the server could not be set up"))?;
     let service = Rc::new(service);
     let sweeper = actix_rt::spawn(sweep(clients.clone(), connections.clone()));
-    log::info!("listening on {listen}");
+    tracing::info!("listening on {listen}");
     loop {
         let permit = tokio::select! {
             biased;
@@ -126,7 +133,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
                 Err(error) => {
-                    log::error!("no connection accepted: {error}");
+                    tracing::error!("no connection accepted: {error}");
                     sleep(Duration::from_millis(20)).await;
                     continue;
                 }
@@ -149,7 +156,7 @@
     S: Service<(ClientIo, Option<SocketAddr>), Response = (), Error = DispatchError>,
 {
     if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("connection not set up: {error}");
+        tracing::debug!("connection not set up: {error}");
     }
     let (state, mut stage) = (seat.state.clone(), front.stage.clone());
     let mut connection = pin!(service.call((ClientIo { stream, seat, stage: stage.clone() }, None)));
@@ -160,9 +167,9 @@
                 match end {
                     Err(DispatchError::Parse(error)) => {
                         let line = format!("request not taken: it can't be read: {error}");
-                        front.malformed.say(module_path!(), Level::Info, line);
+                        seldom!(front.malformed, info, line);
                     }
-                    Err(error) => log::debug!("connection of a client ended: {error}"),
+                    Err(error) => tracing::debug!("connection of a client ended: {error}"),
                     Ok(()) => {}
                 }
                 return;
@@ -212,14 +219,14 @@
     let mut response = if request.method() == Method::GET && request.path() == HEALTH {
         Response::with_body(StatusCode::OK, Bytes::from_static(b"ok\n"))
     } else if over {
-        front.full.say(module_path!(), Level::Warn, Crowd(&front.clients));
-        Answer::Refused { retry_after: None }.encode()
+        seldom!(front.full, warn, Crowd(&front.clients));
+        encode(Answer::Refused { retry_after: None })
     } else {
         match front.take(&mut request, state.as_deref(), received).await {
-            Ok(answer) => answer.encode(),
+            Ok(answer) => encode(answer),
             Err(malformed) => {
                 let line = format!("request not taken: {} ({})", malformed.what, malformed.status.as_u16());
-                front.malformed.say(module_path!(), Level::Info, line);
+                seldom!(front.malformed, info, line);
                 turned_away = true;
                 malformed.encode()
             }
@@ -245,14 +252,11 @@
         state: Option<&ClientState>,
         received: Instant,
     ) -> Result<Answer, Malformed> {
-        let decoded = Request::decode(request.head(), &self.site, self.own.body_bytes)?;
+        let rules = self.rules.borrow().clone();
+        let decoded = Request::decode(request.head(), &self.site, rules.as_deref(), self.own.body_bytes)?;
         let body = read_body(&mut request.take_payload(), self.own.body_bytes).await?;
         let Ok(permit) = self.requests.clone().try_acquire_owned() else {
-            self.full.say(
-                module_path!(),
-                Level::Warn,
-                "request refused: the bound on requests in hand is reached",
-            );
+            seldom!(self.full, warn, "request refused: the bound on requests in hand is reached");
             return Ok(Answer::Refused { retry_after: None });
         };
         // A copy of a request in hand, whoever sends it, would be a second run of it.
@@ -261,25 +265,26 @@
         }
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (slot, answer) = oneshot::channel();
-        let (module, name) = (self.module.clone(), decoded.id.clone());
-        let mut taken = Taken { id, name, front: self, module, answered: false, _permit: permit };
+        let (engine, name) = (self.engine.clone(), decoded.id.clone());
+        let mut taken = Taken { id, name, front: self, engine, answered: false, _permit: permit };
         state.into_iter().for_each(|state| state.enter(Phase::InHand));
-        self.module.request(id, decoded.with_body(body), received, slot);
+        let ask = decoded.ask.clone();
+        self.engine.request(id, ask, Rc::new(decoded.with_body(body)), received, slot);
         let answer = answer.await;
         taken.answered = true;
         Ok(answer.unwrap_or_else(|_| {
-            log::error!("a request was dropped without an answer");
+            tracing::error!("a request was dropped without an answer");
             Answer::Failed
         }))
     }
 }
 
-/// A request in the module's hands. Dropped unanswered, as when its client closes, it tells the module so.
+/// A request in the engine's hands. Dropped unanswered, as when its client closes, it tells the engine so.
 struct Taken<'a> {
     id: RequestId,
     name: HeaderValue,
     front: &'a Front,
-    module: module::Handle,
+    engine: Handle,
     answered: bool,
     _permit: OwnedSemaphorePermit,
 }
@@ -288,7 +293,7 @@
     fn drop(&mut self) {
         self.front.ids.borrow_mut().remove(&self.name);
         if !self.answered {
-            self.module.gone(self.id);
+            self.engine.gone(self.id);
         }
     }
 }
@@ -300,7 +305,7 @@
     Silent,
     /// A request has begun and is not whole.
     Reading,
-    /// A request is in the module's hands: nothing here ends it.
+    /// A request is in the engine's hands: nothing here ends it.
     InHand,
     /// The last request was answered and no byte has come since.
     Idle,
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,30 @@
+//! HTTP/1.1 around the engine. [`front`] takes requests from applications (actix-http), [`peer`] is the transport to a
+//! server (awc) with an actor each, [`list`] calls discovery; `message` decodes and encodes all of it once.
+//!
+//! Arrows go one way: front, peer and list stand on the engine's handle; none of them knows another.
+
+#![forbid(unsafe_code)]
+
+mod frame;
+pub mod front;
+mod line;
+pub mod list;
+pub mod message;
+pub mod own;
+pub mod peer;
+mod seldom;
+
+use bytes::Bytes;
+use std::rc::Rc;
+
+/// The engine's handle as HTTP uses it.
+pub type Handle = dunlincleat_engine::shell::Handle<Rc<message::Request>, message::Body>;
+/// The engine's mailbox as HTTP uses it.
+pub type Mailbox = dunlincleat_engine::shell::Mailbox<Rc<message::Request>, message::Body>;
+/// The engine as HTTP uses it.
+pub type Engine = dunlincleat_engine::Engine<Rc<message::Request>, message::Body>;
+type Answer = dunlincleat_engine::Answer<message::Body>;
+type Ended = dunlincleat_engine::Ended<message::Body>;
+
+/// A whole body.
+pub(crate) type Whole = Bytes;
--- a/crates/sidecar/src/line.rs
+++ b/crates/http/src/line.rs
@@ -1,11 +1,10 @@
 //! A connection to a server: the thin I/O under awc, which does what awc can't. It keeps to the bound on
 //! descriptors and to drains, counts what was written, and frames what is read.
 
-use crate::config::Own;
 use crate::frame::{Frame, Spoilt};
-use crate::logger::Seldom;
 use crate::message::authority;
-use crate::peer::Common;
+use crate::own::Own;
+use crate::seldom::{Seldom, seldom};
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::Service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
@@ -130,6 +129,17 @@
     .await
 }
 
+/// What connections to servers are made of.
+#[derive(Clone)]
+pub struct Means {
+    /// Bounds and times.
+    pub own: Rc<Own>,
+    /// Connections to servers that may still be opened.
+    pub sockets: Arc<Semaphore>,
+    /// The line of the log for attempts that found no place among those.
+    pub full: Rc<Seldom>,
+}
+
 /// A connection to the server, or one to be opened.
 pub struct Line {
     /// Its awc client.
@@ -142,15 +152,14 @@
 
 impl Line {
     /// One to be opened when it is first sent on.
-    pub fn new(common: &Common, gate: Rc<Gate>) -> Line {
+    pub fn new(means: &Means, gate: Rc<Gate>) -> Line {
         let wire = Rc::new(Wire::default());
-        let (sockets, full) = (common.sockets.clone(), common.full.clone());
-        let dial = Dial { sockets, full, gate, wire: wire.clone(), own: common.own.clone() };
+        let dial = Dial { means: means.clone(), gate, wire: wire.clone() };
         // Lifetimes and limits are kept here, so awc's own must never act.
         let never = Duration::from_secs(1 << 30);
         let connector = awc::Connector::new()
             .connector(dial)
-            .timeout(common.own.connect)
+            .timeout(means.own.connect)
             .conn_keep_alive(never)
             .conn_lifetime(never)
             .limit(0);
@@ -167,11 +176,9 @@
 /// Opens connections within the bound on descriptors.
 #[derive(Clone)]
 struct Dial {
-    sockets: Arc<Semaphore>,
-    full: Rc<Seldom>,
+    means: Means,
     gate: Rc<Gate>,
     wire: Rc<Wire>,
-    own: Rc<Own>,
 }
 
 impl Service<ConnectInfo<Uri>> for Dial {
@@ -186,22 +193,22 @@
         Box::pin(async move {
             let uri = info.request().clone();
             let endpoint = authority(&uri).ok_or(ConnectError::Unresolved)?;
-            let permit = dial.sockets.try_acquire_owned().map_err(|_| {
+            let permit = dial.means.sockets.clone().try_acquire_owned().map_err(|_| {
                 let line = format!("no connection to {endpoint}: the bound on server connections is reached");
-                dial.full.say(module_path!(), log::Level::Warn, line);
+                seldom!(dial.means.full, warn, line);
                 ConnectError::Io(io::Error::other(Unsent("the bound on server connections is reached")))
             })?;
             let stream = TcpStream::connect(endpoint).await.map_err(ConnectError::Io)?;
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
             let stream = Rc::new(stream);
             *dial.wire.stream.borrow_mut() = Rc::downgrade(&stream);
-            let frame = Frame::new(dial.own.body_bytes);
+            let frame = Frame::new(dial.means.own.body_bytes);
             let io = ServerIo {
                 stream,
                 frame,
                 heard: Instant::now(),
                 timer: None,
-                stall: dial.own.answer_stall,
+                stall: dial.means.own.answer_stall,
                 gate: dial.gate,
                 wire: dial.wire,
                 _permit: permit,
--- a/crates/sidecar/src/list.rs
+++ b/crates/http/src/list.rs
@@ -1,10 +1,9 @@
 //! The actor that follows discovery: the thin shell around `Follower`, which decides which watches to open. It owns
-//! one task a watch, dropped with its entry in `tasks`, and tells the module what the list has become.
+//! one task a watch, dropped with its entry in `tasks`, and tells the engine what the list has become.
 
-use crate::clock::Clock;
-use crate::config::Own;
+use crate::Handle;
 use crate::message::{Cut, list_uri, read_body, watch_uri};
-use crate::module;
+use crate::own::Own;
 use anyhow::Context;
 use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, ClientResponse};
@@ -12,6 +11,8 @@
 use dunlincleat_directory::{
     Ask, Cause, Delivery, Follower, Input, Lines, Listing, Output, Snapshot, WatchId,
 };
+use dunlincleat_engine::clock::Clock;
+use dunlincleat_engine::shell::Directory;
 use futures_util::StreamExt;
 use rustc_hash::FxHashMap;
 use std::io::Write;
@@ -29,19 +30,46 @@
 const KEEP: Duration = Duration::from_secs(2);
 
 /// What the actor is told.
-pub enum Msg {
+enum Msg {
     /// The module wants a watch, where the site's lists come only on request.
     Watch,
     /// Discovery answers elsewhere from now on.
     Moved(SocketAddr),
 }
 
+/// The actor's mailbox; it holds one word a call of the module's or a reload.
+#[derive(Clone)]
+pub struct Caller(mpsc::UnboundedSender<Msg>);
+
+/// The other end of the mailbox.
+pub struct Calls(mpsc::UnboundedReceiver<Msg>);
+
+/// A mailbox.
+pub fn mailbox() -> (Caller, Calls) {
+    let (caller, calls) = mpsc::unbounded_channel();
+    (Caller(caller), Calls(calls))
+}
+
+impl Caller {
+    /// Discovery answers elsewhere from now on.
+    pub fn moved(&self, discovery: SocketAddr) {
+        // The actor lives as long as the process.
+        let _ = self.0.send(Msg::Moved(discovery));
+    }
+}
+
+impl Directory for Caller {
+    fn watch(&mut self) {
+        let _ = self.0.send(Msg::Watch);
+    }
+}
+
 /// The actor.
 pub struct List {
     follower: Follower,
     clock: Clock,
     own: Rc<Own>,
-    module: module::Handle,
+    engine: Handle,
     client: Client,
     tasks: FxHashMap<WatchId, Task>,
     heard: mpsc::Sender<Input>,
@@ -61,20 +89,14 @@
 
 impl List {
     /// Starts the actor behind its mailbox, from the list as last held.
-    pub fn start(
-        follower: Follower,
-        clock: Clock,
-        own: Rc<Own>,
-        module: module::Handle,
-        mailbox: mpsc::UnboundedReceiver<Msg>,
-    ) {
+    pub fn start(follower: Follower, clock: Clock, own: Rc<Own>, engine: Handle, calls: Calls) {
         let (heard, hearing) = mpsc::channel(WAITING);
         // A call is ended by the follower, when its time is over.
         let connector = awc::Connector::new().timeout(Duration::from_secs(1 << 30));
         let client = Client::builder().connector(connector).disable_timeout().disable_redirects().finish();
         let (tasks, keep_at) = (FxHashMap::default(), Instant::now());
-        let list = List { follower, clock, own, module, client, tasks, heard, unkept: false, keep_at };
-        actix_rt::spawn(list.run(mailbox, hearing));
+        let list = List { follower, clock, own, engine, client, tasks, heard, unkept: false, keep_at };
+        actix_rt::spawn(list.run(calls.0, hearing));
     }
 
     async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<Msg>, mut hearing: mpsc::Receiver<Input>) {
@@ -82,7 +104,7 @@
         loop {
             self.follower.wake(self.clock.now(), &mut out);
             self.carry_out(&mut out);
-            self.module.list_state(self.follower.health());
+            self.engine.list_state(self.follower.health());
             let due = self.follower.due().map(|at| self.clock.instant(at));
             let keep = self.unkept.then_some(self.keep_at);
             let input = tokio::select! {
@@ -100,7 +122,7 @@
                 }
             };
             if let Input::Ended(watch, cause) = &input {
-                log::debug!("watch {} ended: {cause}", watch.0);
+                tracing::debug!("watch {} ended: {cause}", watch.0);
                 self.tasks.remove(watch);
             }
             self.follower.input(self.clock.now(), input, &mut out);
@@ -111,7 +133,7 @@
         for output in out.drain(..) {
             match output {
                 Output::Open { watch, at, ask } => {
-                    log::debug!("watch {} of discovery at {at} opens: {ask:?}", watch.0);
+                    tracing::debug!("watch {} of discovery at {at} opens: {ask:?}", watch.0);
                     let (client, heard) = (self.client.clone(), self.heard.clone());
                     let task = actix_rt::spawn(async move {
                         let cause = watched(&client, watch, at, ask, &heard).await;
@@ -122,11 +144,11 @@
                 }
                 Output::Close(watch) => drop(self.tasks.remove(&watch)),
                 Output::Deliver(delivery) => self.deliver(delivery),
-                Output::Failed => self.module.list_failed(),
+                Output::Failed => self.engine.list_failed(),
                 // One warning an outage: the next line of its kind says that a watch is followed again.
-                Output::Lost { at, why } => log::warn!("no watch of discovery at {at}: {why}"),
+                Output::Lost { at, why } => tracing::warn!("no watch of discovery at {at}: {why}"),
                 Output::Followed { at, rev, unheard } => {
-                    log::info!(
+                    tracing::info!(
                         "watch of discovery at {at} open after revision {rev}, unheard for {} ms",
                         unheard.0 / 1000
                     );
@@ -136,9 +158,9 @@
     }
 
     fn deliver(&mut self, delivery: Delivery) {
-        delivery.odd.iter().for_each(|odd| log::warn!("{odd}"));
+        delivery.odd.iter().for_each(|odd| tracing::warn!("{odd}"));
         self.unkept = self.own.list_file.is_some();
-        self.module.listed(delivery);
+        self.engine.listed(delivery);
     }
 
     /// Writes the list as held to its file, off this thread.
@@ -149,7 +171,7 @@
         let bytes = Snapshot { fresh_at, listing: self.follower.book().listing() }.encode();
         tokio::task::spawn_blocking(move || {
             if let Err(error) = replace(&path, &bytes) {
-                log::warn!("list not kept in {}: {error:#}", path.display());
+                tracing::warn!("list not kept in {}: {error:#}", path.display());
             }
         });
     }
--- a/crates/sidecar/src/message.rs
+++ b/crates/http/src/message.rs
@@ -1,10 +1,13 @@
 //! The protocol's messages: headers and bodies are decoded once into small typed values, and encoded once.
 
+use crate::Answer;
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, Response, StatusCode};
 use awc::http::Uri;
 use bytes::{Bytes, BytesMut};
 use dunlincleat::api::{Effect, Span, Status};
+use dunlincleat_engine::Ask;
+use dunlincleat_limits::{Facts, RuleSet};
 use dunlincleat_settings::Site;
 use futures_util::{Stream, StreamExt};
 use serde_json::Value;
@@ -35,16 +38,17 @@
     key: Option<HeaderValue>,
     content_type: Option<HeaderValue>,
     body: Bytes,
-    /// The number of its class.
-    pub class: u32,
-    /// The number of its tenant; that after the last where none was named that is known.
-    pub tenant: u32,
-    /// How long the client waits, from when it sent it.
-    pub wait: Span,
-    /// A guess at the work.
-    pub hint: Option<Span>,
-    /// The client marked it as a repeat.
-    pub repeat: bool,
+    /// What the engine is told of it.
+    pub ask: Ask,
+}
+
+/// A server's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Body {
+    /// As the server sent it.
+    pub body: Bytes,
+    /// What it says the body is.
+    pub content_type: Option<HeaderValue>,
 }
 
 /// Why a request was not taken.
@@ -58,7 +62,12 @@
 
 impl Request {
     /// Reads a request's head; the body is added by `with_body`.
-    pub fn decode(head: &RequestHead, site: &Site, most: usize) -> Result<Request, Malformed> {
+    pub fn decode(
+        head: &RequestHead,
+        site: &Site,
+        rules: Option<&RuleSet>,
+        most: usize,
+    ) -> Result<Request, Malformed> {
         let bad = |what| Malformed { status: StatusCode::BAD_REQUEST, what };
         // Told from the head alone: a body that will not be read is not waited for either.
         let length = text(&head.headers, &header::CONTENT_LENGTH).and_then(|l| l.parse::<u64>().ok());
@@ -96,6 +105,21 @@
         let tenant = site.tenants.iter().position(|t| Some(t.as_str()) == tenant);
         // A hint is advice: one that can't be read is none.
         let hint = text(&head.headers, &COST).and_then(|c| c.parse::<f64>().ok());
+        let ask = Ask {
+            class: class as u32,
+            tenant: tenant.unwrap_or(site.tenants.len()) as u32,
+            wait,
+            hint: hint.filter(|c| c.is_finite() && *c >= 0.0).map(|c| Span(c as u64)),
+            repeat: text(&head.headers, &RETRIED) == Some("1"),
+            rule: None,
+        };
+        let rule = rules.map(|rules| {
+            let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+            let (class, tenant) = (ask.class, ask.tenant);
+            let facts = Facts { path, method: method.as_str(), class, tenant, header: &header };
+            rules.find(&facts).clone()
+        });
+        let ask = Ask { rule, ..ask };
         Ok(Request {
             id,
             method,
@@ -103,11 +127,7 @@
             key,
             content_type: head.headers.get(header::CONTENT_TYPE).cloned(),
             body: Bytes::new(),
-            class: class as u32,
-            tenant: tenant.unwrap_or(site.tenants.len()) as u32,
-            wait,
-            hint: hint.filter(|c| c.is_finite() && *c >= 0.0).map(|c| Span(c as u64)),
-            repeat: text(&head.headers, &RETRIED) == Some("1"),
+            ask,
         })
     }
 
@@ -140,46 +160,25 @@
     }
 }
 
-/// The final answer to a client.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// The body of a server's answer.
-    Served {
-        /// As the server sent it.
-        body: Bytes,
-        /// What it says the body is.
-        content_type: Option<HeaderValue>,
-    },
-    /// Trying again does no harm.
-    Refused {
-        /// How long to stay away.
-        retry_after: Option<Span>,
-    },
-    /// Nothing promised.
-    Failed,
-}
-
-impl Answer {
-    /// Encodes the answer.
-    pub fn encode(self) -> Response<Bytes> {
-        match self {
-            Answer::Served { body, content_type } => {
-                let mut response = Response::with_body(StatusCode::OK, body);
-                if let Some(kind) = content_type {
-                    response.headers_mut().insert(header::CONTENT_TYPE, kind);
-                }
-                response
+/// Encodes the final answer to a client.
+pub fn encode(answer: Answer) -> Response<Bytes> {
+    match answer {
+        Answer::Served(Body { body, content_type }) => {
+            let mut response = Response::with_body(StatusCode::OK, body);
+            if let Some(kind) = content_type {
+                response.headers_mut().insert(header::CONTENT_TYPE, kind);
             }
-            Answer::Refused { retry_after } => {
-                let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
-                let after = retry_after.map(|s| format!("{:.3}", s.f() / 1e6));
-                if let Some(after) = after.and_then(|a| HeaderValue::try_from(a).ok()) {
-                    response.headers_mut().insert(header::RETRY_AFTER, after);
-                }
-                response
+            response
+        }
+        Answer::Refused { retry_after } => {
+            let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+            let after = retry_after.map(|s| format!("{:.3}", s.f() / 1e6));
+            if let Some(after) = after.and_then(|a| HeaderValue::try_from(a).ok()) {
+                response.headers_mut().insert(header::RETRY_AFTER, after);
             }
-            Answer::Failed => Response::with_body(StatusCode::BAD_GATEWAY, Bytes::new()),
+            response
         }
+        Answer::Failed => Response::with_body(StatusCode::BAD_GATEWAY, Bytes::new()),
     }
 }
 
--- /dev/null
+++ b/crates/http/src/own.rs
@@ -0,0 +1,34 @@
+//! The figures of the HTTP side. Read and given defaults by the assembly; nothing here is decided.
+
+use dunlincleat_directory::Figures;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Bounds and times of clients' connections, connections to servers and calls of discovery.
+#[derive(Clone, Debug)]
+pub struct Own {
+    /// The largest body of a request or an answer, in bytes.
+    pub body_bytes: usize,
+    /// Connections that clients may hold.
+    pub client_connections: usize,
+    /// How long a client may take from connecting, or from its first byte, to a whole request.
+    pub client_request: Duration,
+    /// How long a connection of a client may stand idle.
+    pub client_idle: Duration,
+    /// Connections to servers, all together.
+    pub server_connections: usize,
+    /// Requests in hand at a time.
+    pub requests: usize,
+    /// How long an idle connection to a server is kept.
+    pub idle: Duration,
+    /// How long a connection to a server may take.
+    pub connect: Duration,
+    /// How long a probe may take.
+    pub probe: Duration,
+    /// How long an answer that began may stand still.
+    pub answer_stall: Duration,
+    /// The times by which discovery is followed.
+    pub watch: Figures,
+    /// The file in which the list is kept, where a disk lasts.
+    pub list_file: Option<PathBuf>,
+}
--- a/crates/sidecar/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -4,29 +4,30 @@
 //! are idle, since when, and that an attempt given up takes its connection with it. A connection that awc's
 //! own pool kept would stand idle until the next request, however old.
 
-use crate::config::Own;
-use crate::line::{Gate, Line, Unsent, Wire, ended_idle};
-use crate::logger::Seldom;
-use crate::message::{Cut, Reply, Request, probe_uri, read_body};
-use crate::module;
-use actix_http::header;
+use crate::line::{Gate, Line, Means, Unsent, Wire, ended_idle};
+use crate::message::{Body, Cut, Reply, Request, probe_uri, read_body};
+use crate::own::Own;
+use crate::seldom::{Seldom, seldom};
+use crate::{Ended, Handle, Whole as Bytes};
 use awc::error::SendRequestError;
-use bytes::Bytes;
-use dunlincleat::api::{Attempt, RequestId, ServerId, State, Status};
+use dunlincleat::api::{Attempt, RequestId, ServerId, Span, State, Status};
+use dunlincleat_engine::SlotId;
+use dunlincleat_engine::shell::Transports;
 use futures_util::StreamExt;
 use futures_util::future::{AbortHandle, Abortable, Aborted, LocalBoxFuture};
 use futures_util::stream::FuturesUnordered;
 use rustc_hash::FxHashMap;
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// What a server's actor is told.
-pub enum Msg {
+enum Msg {
     /// Start an attempt.
     Attempt {
         /// Of which request.
@@ -37,6 +38,8 @@
         request: Rc<Request>,
         /// When to stop waiting.
         until: Instant,
+        /// How long a connection for it may take, where that is narrowed.
+        connect: Option<Duration>,
     },
     /// Stop waiting for an attempt.
     Cancel {
@@ -45,66 +48,97 @@
         /// Which attempt.
         attempt: Attempt,
     },
-    /// Ask the server how it is.
-    Probe,
+    /// Ask the server how it is, for whom.
+    Probe(SlotId),
     /// What the list says of it.
     Listed {
-        /// Where it is reached.
-        endpoint: SocketAddr,
+        /// Where it is reached and when it last started; nothing where the list lacks it.
+        at: Option<(SocketAddr, u64)>,
         /// Whether it takes new work.
         state: State,
-        /// When it last started.
-        boot_ms: u64,
     },
-    /// The whole list lacks it.
-    Missing,
-}
-
-/// How an attempt or a probe ended.
-pub struct Ended {
-    /// How.
-    pub status: Status,
-    /// Time since it was taken up.
-    pub latency: Duration,
-    /// The load report.
-    pub load: Vec<f64>,
-    /// The answer's body and type, where it was served.
-    pub body: Option<(Bytes, Option<header::HeaderValue>)>,
-}
-
-impl Ended {
-    /// One that brought no answer.
-    pub fn unsent(status: Status) -> Ended {
-        Ended { status, latency: Duration::ZERO, load: Vec::new(), body: None }
-    }
 }
 
 /// What all peers are given.
 #[derive(Clone)]
-pub struct Common {
-    /// The sidecar's own figures.
-    pub own: Rc<Own>,
+struct Common {
+    means: Means,
     /// The names of the figures in a load report.
-    pub fields: Rc<[String]>,
+    fields: Rc<[String]>,
     /// Servers answer `/load` with a report.
-    pub load_probes: bool,
-    /// Connections to servers that may still be opened.
-    pub sockets: Arc<Semaphore>,
-    /// The line of the log for attempts that found no place among those.
-    pub full: Rc<Seldom>,
+    load_probes: bool,
     /// The line of the log for answers that are of no use.
-    pub spoilt: Rc<Seldom>,
-    /// The module's mailbox.
-    pub module: module::Handle,
+    spoilt: Rc<Seldom>,
+    engine: Handle,
 }
 
-/// Starts the actor of a server.
-pub fn start(
-    server: ServerId,
-    endpoint: SocketAddr,
-    boot_ms: u64,
+/// The transports to all servers: the mailboxes of their actors, by number. An actor ends with its mailbox.
+pub struct Peers {
     common: Common,
-) -> mpsc::UnboundedSender<Msg> {
+    mailboxes: FxHashMap<ServerId, mpsc::UnboundedSender<Msg>>,
+}
+
+impl Peers {
+    /// Transports that tell `engine` what became of each attempt and probe.
+    pub fn new(own: Rc<Own>, fields: Rc<[String]>, load_probes: bool, engine: Handle) -> Peers {
+        let sockets = Arc::new(Semaphore::new(own.server_connections));
+        let means = Means { own, sockets, full: Rc::default() };
+        let common = Common { means, fields, load_probes, spoilt: Rc::default(), engine };
+        Peers { common, mailboxes: FxHashMap::default() }
+    }
+
+    fn tell(&self, server: ServerId, msg: Msg) -> bool {
+        self.mailboxes.get(&server).is_some_and(|mailbox| mailbox.send(msg).is_ok())
+    }
+}
+
+impl Transports for Peers {
+    type Payload = Rc<Request>;
+    type Body = Body;
+
+    fn open(&mut self, server: ServerId, at: SocketAddr, boot_ms: u64) {
+        self.mailboxes.insert(server, start(server, at, boot_ms, self.common.clone()));
+    }
+
+    fn listed(&mut self, server: ServerId, at: Option<(SocketAddr, u64)>, state: State) {
+        self.tell(server, Msg::Listed { at, state });
+    }
+
+    fn close(&mut self, server: ServerId) {
+        self.mailboxes.remove(&server);
+    }
+
+    fn attempt(
+        &mut self,
+        id: RequestId,
+        attempt: Attempt,
+        server: ServerId,
+        request: Rc<Request>,
+        until: Instant,
+        connect: Option<Duration>,
+    ) {
+        if !self.tell(server, Msg::Attempt { id, attempt, request, until, connect }) {
+            self.common.engine.ended(id, attempt, server, Ended::unsent(Status::ConnectFailed));
+        }
+    }
+
+    fn cancel(&mut self, id: RequestId, attempt: Attempt, server: ServerId) {
+        self.tell(server, Msg::Cancel { id, attempt });
+    }
+
+    fn probe(&mut self, server: ServerId, asked: SlotId) {
+        if !self.tell(server, Msg::Probe(asked)) {
+            self.common.engine.probed(server, asked, Ended::unsent(Status::ConnectFailed));
+        }
+    }
+
+    fn room(&self) -> usize {
+        self.common.means.sockets.available_permits()
+    }
+}
+
+/// Starts the actor of a server.
+fn start(server: ServerId, endpoint: SocketAddr, boot_ms: u64, common: Common) -> mpsc::UnboundedSender<Msg> {
     let (handle, mailbox) = mpsc::unbounded_channel();
     let gate = Rc::new(Gate::default());
     let peer = Peer {
@@ -139,7 +173,7 @@
 #[derive(Clone, Copy)]
 enum What {
     Attempt(RequestId, Attempt),
-    Probe,
+    Probe(SlotId),
 }
 
 struct Peer {
@@ -160,7 +194,7 @@
 impl Peer {
     async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<Msg>) {
         loop {
-            let oldest = self.idle.first().map(|line| line.since + self.common.own.idle);
+            let oldest = self.idle.first().map(|line| line.since + self.common.means.own.idle);
             tokio::select! {
                 biased;
                 msg = mailbox.recv() => match msg {
@@ -170,7 +204,7 @@
                 Some(done) = self.out.next(), if !self.out.is_empty() => self.done(done),
                 at = ended_idle(&self.idle), if !self.idle.is_empty() => drop(self.idle.remove(at)),
                 () = sleep_until(oldest.unwrap_or_else(Instant::now)), if oldest.is_some() => {
-                    let (now, idle) = (Instant::now(), self.common.own.idle);
+                    let (now, idle) = (Instant::now(), self.common.means.own.idle);
                     self.idle.retain(|line| line.since + idle > now);
                 }
             }
@@ -179,7 +213,7 @@
 
     fn take(&mut self, msg: Msg) {
         match msg {
-            Msg::Attempt { id, attempt, request, until } => {
+            Msg::Attempt { id, attempt, request, until, connect } => {
                 let line = self.line();
                 let (endpoint, common) = (self.endpoint, self.common.clone());
                 let (abort, registration) = AbortHandle::new_pair();
@@ -187,13 +221,13 @@
                 let started = Instant::now();
                 self.out.push(Box::pin(async move {
                     let wire = line.wire.clone();
-                    let sending = send(line, endpoint, &request, until, &common);
+                    let sending = send(line, endpoint, &request, (until, connect), &common);
                     let (mut ended, line) = match Abortable::new(sending, registration).await {
                         Ok(end) => end,
                         Err(Aborted) if wire.withdrawn() => (Ended::unsent(Status::Moot), None),
                         Err(Aborted) => (Ended::unsent(wire.unless_sent(Status::Cancelled)), None),
                     };
-                    ended.latency = started.elapsed();
+                    ended.latency = Span(started.elapsed().as_micros() as u64);
                     Done { what: What::Attempt(id, attempt), started, ended, line }
                 }));
             }
@@ -202,29 +236,26 @@
                     abort.abort();
                 }
             }
-            Msg::Probe => {
+            Msg::Probe(asked) => {
                 let line = self.line();
                 let (endpoint, common) = (self.endpoint, self.common.clone());
                 let started = Instant::now();
                 self.out.push(Box::pin(async move {
                     let (mut ended, line) = probe(line, endpoint, &common).await;
-                    ended.latency = started.elapsed();
-                    Done { what: What::Probe, started, ended, line }
+                    ended.latency = Span(started.elapsed().as_micros() as u64);
+                    Done { what: What::Probe(asked), started, ended, line }
                 }));
             }
-            Msg::Listed { endpoint, state, boot_ms } => {
+            Msg::Listed { at, state } => {
                 // Connections to an old process or place are dead, though nothing may have told of that: what
                 // is written to one ends as a reset, after which an unsafe request must not be sent again.
+                let (endpoint, boot_ms) = at.unwrap_or((self.endpoint, self.boot_ms));
                 if (endpoint, boot_ms) != (self.endpoint, self.boot_ms) || state == State::Gone {
                     self.idle.clear();
                 }
                 (self.endpoint, self.boot_ms) = (endpoint, boot_ms);
                 self.listed(state);
             }
-            Msg::Missing => {
-                self.idle.clear();
-                self.listed(State::Gone);
-            }
         }
     }
 
@@ -258,9 +289,9 @@
         match done.what {
             What::Attempt(id, attempt) => {
                 self.aborts.remove(&(id, attempt));
-                self.common.module.ended(id, attempt, self.server, done.ended);
+                self.common.engine.ended(id, attempt, self.server, done.ended);
             }
-            What::Probe => self.common.module.probed(self.server, done.ended),
+            What::Probe(asked) => self.common.engine.probed(self.server, asked, done.ended),
         }
     }
 
@@ -271,7 +302,7 @@
                 return line;
             }
         }
-        Line::new(&self.common, self.gate.clone())
+        Line::new(&self.common.means, self.gate.clone())
     }
 }
 
@@ -280,7 +311,7 @@
     line: Line,
     endpoint: SocketAddr,
     request: &Request,
-    until: Instant,
+    (until, connect): (Instant, Option<Duration>),
     common: &Common,
 ) -> (Ended, Option<Line>) {
     line.wire.begin();
@@ -291,10 +322,29 @@
         let body = whole_body(response, common, &line.wire).await?;
         Ok::<_, Status>((reply, body))
     };
+    // Nothing was written in time: the connection did not come up, and nothing can have run.
+    let connecting = async {
+        match connect {
+            Some(connect) => sleep(connect).await,
+            None => pending().await,
+        }
+        if !line.wire.unsent() {
+            pending::<()>().await;
+        }
+        Status::ConnectFailed
+    };
+    let exchange = async {
+        tokio::select! {
+            biased;
+            done = exchange => done,
+            status = connecting => Err(status),
+        }
+    };
     match timeout_at(until, exchange).await {
         Ok(Ok((reply, body))) => {
-            let body = (reply.status == Status::Ok).then_some((body, reply.content_type));
-            let latency = Duration::ZERO;
+            let body = Body { body, content_type: reply.content_type };
+            let body = (reply.status == Status::Ok).then_some(body);
+            let latency = Span(0);
             (Ended { status: reply.status, latency, load: reply.load, body }, Some(line))
         }
         Ok(Err(status)) => (Ended::unsent(judged(status, endpoint, &line.wire, common)), None),
@@ -311,10 +361,10 @@
         let body = whole_body(response, common, &line.wire).await?;
         Ok::<_, Status>(Reply::decode_probe(status, &headers, &body, &common.fields))
     };
-    match timeout_at(Instant::now() + common.own.probe, exchange).await {
+    match timeout_at(Instant::now() + common.means.own.probe, exchange).await {
         Ok(Ok(reply)) => {
             let Reply { status, load, .. } = reply;
-            (Ended { status, latency: Duration::ZERO, load, body: None }, Some(line))
+            (Ended { status, latency: Span(0), load, body: None }, Some(line))
         }
         Ok(Err(status)) => (Ended::unsent(judged(status, endpoint, &line.wire, common)), None),
         Err(_) => (Ended::unsent(Status::Timeout), None),
@@ -326,7 +376,7 @@
 fn judged(status: Status, endpoint: SocketAddr, wire: &Wire, common: &Common) -> Status {
     let Some(why) = wire.spoilt() else { return status };
     let line = format!("answer of {endpoint} is of no use: {why}");
-    common.spoilt.say(module_path!(), log::Level::Warn, line);
+    seldom!(common.spoilt, warn, line);
     Status::Error
 }
 
@@ -336,7 +386,7 @@
     common: &Common,
     wire: &Wire,
 ) -> Result<Bytes, Status> {
-    let body = read_body(&mut response, common.own.body_bytes).await.map_err(|cut| match cut {
+    let body = read_body(&mut response, common.means.own.body_bytes).await.map_err(|cut| match cut {
         Cut::Broken => Status::Reset,
         Cut::TooLong => Status::Error,
     })?;
--- /dev/null
+++ b/crates/http/src/seldom.rs
@@ -0,0 +1,36 @@
+//! Lines of the log that each request could bring.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+/// Keeps a line that each request could bring to one a second: written for each, they could fill the pipe that
+/// the log goes to, and the process would stand still until somebody reads it.
+#[derive(Default)]
+pub struct Seldom {
+    last: Cell<Option<Instant>>,
+    times: Cell<u64>,
+}
+
+impl Seldom {
+    const PAUSE: Duration = Duration::from_secs(1);
+
+    /// How often the line was due since it was last written, where it is to be written now; else it is counted.
+    pub fn due(&self) -> Option<u64> {
+        self.times.set(self.times.get() + 1);
+        let due = self.last.get().is_none_or(|last| last.elapsed() >= Seldom::PAUSE);
+        due.then(|| {
+            self.last.set(Some(Instant::now()));
+            self.times.replace(0)
+        })
+    }
+}
+
+/// Writes a line of the log once a second at most, with how often it was due since.
+macro_rules! seldom {
+    ($seldom:expr, $level:ident, $line:expr) => {
+        if let Some(times) = $seldom.due() {
+            tracing::$level!("{} (times: {times})", $line);
+        }
+    };
+}
+pub(crate) use seldom;
--- /dev/null
+++ b/crates/sidecar/src/cli.rs
@@ -0,0 +1,259 @@
+//! The command line: `serve`, and what an operator asks of a file before it is used. Text for persons, JSON for
+//! programs; 0 is good, 1 faults were found, 2 nothing could be read.
+
+use crate::config::settings_of;
+use anyhow::{Context, Result, anyhow};
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
+use dunlincleat_limits::file::{CopyAfter, written};
+use dunlincleat_limits::{Code, Facts, Fault, Rule, Severity, check, check_form};
+use dunlincleat_settings::Site;
+use serde_json::json;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// A client-side load balancer that runs as a sidecar.
+#[derive(Parser)]
+#[command(name = "dunlincleat", version, about, propagate_version = true)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Format {
+    /// For persons.
+    Text,
+    /// For programs.
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve as told by the environment, as dunlincleat-sidecar does
+    Serve {
+        /// The operator's file; goes before EDGE_LIMITS and the configuration's key `limits_file`
+        #[arg(long, value_name = "FILE")]
+        limits: Option<PathBuf>,
+    },
+    /// Prove an operator's file: exit 0 good, 1 faults found, 2 unreadable
+    Check {
+        /// The operator's file
+        file: PathBuf,
+        /// The settings to prove it against: the settings object, or a configuration that holds it
+        #[arg(long, value_name = "FILE", env = "EDGE_CONFIG")]
+        settings: Option<PathBuf>,
+        /// How to tell the faults
+        #[arg(long, value_enum, default_value = "text")]
+        format: Format,
+    },
+    /// Show which route a request is under, and which line said so
+    Route {
+        /// The operator's file
+        file: PathBuf,
+        /// The settings: the settings object, or a configuration that holds it
+        #[arg(long, value_name = "FILE", env = "EDGE_CONFIG")]
+        settings: PathBuf,
+        /// The request's class
+        #[arg(long)]
+        class: String,
+        /// The request's tenant
+        #[arg(long)]
+        tenant: Option<String>,
+        /// The request's path; the class alone if it is left out
+        #[arg(long)]
+        path: Option<String>,
+        /// The request's method; that of the class if it is left out
+        #[arg(long)]
+        method: Option<String>,
+        /// A header of the request, as NAME=VALUE
+        #[arg(long = "header", value_name = "NAME=VALUE")]
+        headers: Vec<String>,
+        /// How to show it
+        #[arg(long, value_enum, default_value = "text")]
+        format: Format,
+    },
+    /// Explain a code that check tells, or list all
+    Explain {
+        /// The code, as DL033
+        code: Option<String>,
+    },
+    /// Write a shell's completions to standard output
+    Completions {
+        /// Which shell
+        shell: Shell,
+    },
+    /// Write the manual page to standard output
+    Manual,
+}
+
+/// Runs the program.
+#[must_use]
+pub fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Serve { limits } => return served(limits.as_deref()),
+        Command::Check { file, settings, format } => checked(&file, settings.as_deref(), format),
+        Command::Route { file, settings, class, tenant, path, method, headers, format } => {
+            let ask = RouteAsk { class, tenant, path, method, headers };
+            route(&file, &settings, &ask, format)
+        }
+        Command::Explain { code } => explain(code.as_deref()),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Cli::command(), "dunlincleat", &mut std::io::stdout());
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Manual => clap_mangen::Man::new(Cli::command())
+            .render(&mut std::io::stdout())
+            .context("standard output")
+            .map(|()| ExitCode::SUCCESS),
+    };
+    done.unwrap_or_else(|error| {
+        eprintln!("dunlincleat: {error:#}");
+        ExitCode::from(2)
+    })
+}
+
+fn served(limits: Option<&Path>) -> ExitCode {
+    match crate::serve(limits) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dunlincleat: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn text_of(file: &Path) -> Result<String> {
+    std::fs::read_to_string(file).with_context(|| file.display().to_string())
+}
+
+fn site_of(file: &Path) -> Result<Site> {
+    settings_of(&text_of(file)?).with_context(|| file.display().to_string())
+}
+
+/// Writes to standard output; a reader that has gone is no fault.
+fn say(text: &str) {
+    let _ = writeln!(std::io::stdout(), "{text}");
+}
+
+fn checked(file: &Path, settings: Option<&Path>, format: Format) -> Result<ExitCode> {
+    let text = text_of(file)?;
+    let faults: Vec<Fault> = match settings {
+        Some(settings) => check(&text, &site_of(settings)?).0,
+        None => check_form(&text),
+    };
+    let errors = faults.iter().filter(|fault| fault.severity == Severity::Error).count();
+    match format {
+        Format::Json => say(&json!({
+            "file": file.display().to_string(), "proved_against_settings": settings.is_some(),
+            "errors": errors, "faults": faults,
+        })
+        .to_string()),
+        Format::Text => {
+            faults.iter().for_each(|fault| say(&format!("{}:{fault}", file.display())));
+            let against = if settings.is_some() { "" } else { " (its form alone: no settings were named)" };
+            let warnings = faults.len() - errors;
+            say(&format!("{}: {errors} errors, {warnings} warnings{against}", file.display()));
+        }
+    }
+    Ok(if errors == 0 { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
+struct RouteAsk {
+    class: String,
+    tenant: Option<String>,
+    path: Option<String>,
+    method: Option<String>,
+    headers: Vec<String>,
+}
+
+fn route(file: &Path, settings: &Path, ask: &RouteAsk, format: Format) -> Result<ExitCode> {
+    let (text, site) = (text_of(file)?, site_of(settings)?);
+    let (faults, rules) = check(&text, &site);
+    let Some(rules) = rules else {
+        faults.iter().for_each(|fault| eprintln!("{}:{fault}", file.display()));
+        return Ok(ExitCode::from(1));
+    };
+    let class = site.classes.iter().position(|c| *c == ask.class);
+    let class =
+        class.ok_or_else(|| anyhow!("no class '{}': one of {}", ask.class, site.classes.join(", ")))?;
+    let tenant = match &ask.tenant {
+        None => site.tenants.len(),
+        Some(name) => site
+            .tenants
+            .iter()
+            .position(|t| t == name)
+            .ok_or_else(|| anyhow!("no tenant '{name}': one of {}", site.tenants.join(", ")))?,
+    };
+    let headers = ask.headers.iter().map(|header| {
+        header.split_once('=').map(|(name, value)| (name.to_ascii_lowercase(), value)).ok_or(header)
+    });
+    let headers = headers.collect::<Result<Vec<_>, _>>().map_err(|h| anyhow!("'{h}' is not NAME=VALUE"))?;
+    let header = |name: &str| headers.iter().find(|(n, _)| n == name).map(|(_, value)| *value);
+    let path = ask.path.clone().unwrap_or_else(|| format!("/{}", ask.class));
+    let safe = site.settings.classes[class].effect == dunlincleat::api::Effect::Safe;
+    let method = ask.method.as_deref().unwrap_or(if safe { "GET" } else { "POST" });
+    let facts = Facts { path: &path, method, class: class as u32, tenant: tenant as u32, header: &header };
+    shown(rules.find(&facts), format);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn shown(rule: &Rule, format: Format) {
+    let copy = rule.second_copy.as_ref().map(|copy| match copy {
+        CopyAfter::Delay(after) => written(*after),
+        CopyAfter::Quantile(quantile) => format!("quantile {quantile}"),
+    });
+    let budget =
+        rule.retry_budget.map(|b| format!("{} of first tries, {} a second at least", b.part, b.least_per_s));
+    let pools: Vec<&str> = rule.pools.iter().map(|pool| pool.name.as_str()).collect();
+    let pool = (!pools.is_empty()).then(|| pools.join(", then "));
+    let number = |n: Option<u32>| n.map(|n| n.to_string());
+    let keys = [
+        ("attempt_timeout", rule.attempt_timeout.map(written)),
+        ("timeout", rule.timeout.map(written)),
+        ("connect_timeout", rule.connect_timeout.map(written)),
+        ("attempts", number(rule.attempts)),
+        ("second_copy", copy),
+        ("retry_budget", budget),
+        ("max_in_hand", number(rule.max_in_hand)),
+        ("max_waiting", number(rule.max_waiting)),
+        ("priority", number(rule.priority)),
+        ("pool", pool),
+    ];
+    let line = |key: &str| rule.said.iter().find(|(said, _)| *said == key).map(|(_, line)| *line);
+    match format {
+        Format::Json => {
+            let set = keys.iter().filter_map(|(key, value)| {
+                let value = value.as_ref()?;
+                Some(((*key).to_owned(), json!({"value": value, "line": line(key)})))
+            });
+            let set: serde_json::Map<String, serde_json::Value> = set.collect();
+            say(&json!({"route": rule.name, "line": rule.line, "set": set}).to_string());
+        }
+        Format::Text => {
+            let at = rule.line.map_or_else(|| "no route matches".to_owned(), |line| format!("line {line}"));
+            say(&format!("route {} ({at})", rule.name));
+            for (key, value) in keys {
+                match value {
+                    Some(value) => {
+                        let at = line(key).map(|line| format!("line {line}")).unwrap_or_default();
+                        say(&format!("  {key:<16} {value}  ({at})"));
+                    }
+                    None => say(&format!("  {key:<16} as the settings and the decision module have it")),
+                }
+            }
+        }
+    }
+}
+
+fn explain(code: Option<&str>) -> Result<ExitCode> {
+    let Some(name) = code else {
+        Code::ALL.iter().for_each(|code| say(&format!("{code}  {}", code.title())));
+        return Ok(ExitCode::SUCCESS);
+    };
+    let code =
+        Code::named(name).ok_or_else(|| anyhow!("no code '{name}'; 'dunlincleat explain' lists all"))?;
+    say(&format!("{code}: {}\n\n{}", code.title(), code.explain()));
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -3,9 +3,11 @@
 //! `EDGE_CONFIG` names a JSON file. `EDGE_NAME`, `EDGE_LISTEN` and `EDGE_DISCOVERY` go before its keys of the
 //! same meaning. Unknown keys are passed over; each message names the key at fault.
 
+use crate::logger::Form;
 use anyhow::{Context, Result, anyhow, bail};
 use dunlincleat::api::Span;
 use dunlincleat_directory::{Figures, Listing};
+use dunlincleat_http::own::Own;
 use dunlincleat_settings::Site;
 use serde::Deserialize;
 use serde_json::{Map, Value};
@@ -13,6 +15,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::level_filters::LevelFilter;
 
 /// Descriptors kept for what is no traffic: standard streams, the poller, signals, listener, discovery, spares.
 const DESCRIPTORS_KEPT: usize = 40;
@@ -31,8 +34,18 @@
     pub known: Listing,
     /// The settings object.
     pub site: Rc<Site>,
-    /// Its own figures.
+    /// The figures that the deployment does not tell, from the object `sidecar`, each with a default.
     pub own: Rc<Own>,
+    /// The least level of log lines.
+    pub log: LevelFilter,
+    /// How log lines are written.
+    pub form: Form,
+    /// How long connections are still accepted after SIGTERM.
+    pub accept_after_term: Duration,
+    /// How long after SIGTERM the process ends at the latest.
+    pub end_after_term: Duration,
+    /// The operator's file, where one is named.
+    pub limits_file: Option<PathBuf>,
     /// What is taken up only at a start, by key, to tell where a new file differs in it.
     fixed: Vec<(&'static str, Option<Value>)>,
 }
@@ -47,40 +60,6 @@
 /// The keys that a reload does not take up. `seed` and `known` matter at a start alone.
 const FIXED: [&str; 5] = ["name", "listen", "limits", "settings", "sidecar"];
 
-/// The figures that the deployment does not tell, from the object `sidecar`, each with a default.
-pub struct Own {
-    /// The least level of log lines.
-    pub log: log::LevelFilter,
-    /// The largest body of a request or an answer, in bytes.
-    pub body_bytes: usize,
-    /// Connections that clients may hold.
-    pub client_connections: usize,
-    /// How long a client may take from connecting, or from its first byte, to a whole request.
-    pub client_request: Duration,
-    /// How long a connection of a client may stand idle.
-    pub client_idle: Duration,
-    /// Connections to servers, all together.
-    pub server_connections: usize,
-    /// Requests in hand at a time.
-    pub requests: usize,
-    /// How long an idle connection to a server is kept.
-    pub idle: Duration,
-    /// How long a connection to a server may take.
-    pub connect: Duration,
-    /// How long a probe may take.
-    pub probe: Duration,
-    /// How long an answer that began may stand still.
-    pub answer_stall: Duration,
-    /// How long connections are still accepted after SIGTERM.
-    pub accept_after_term: Duration,
-    /// How long after SIGTERM the process ends at the latest.
-    pub end_after_term: Duration,
-    /// The times by which discovery is followed.
-    pub watch: Figures,
-    /// The file in which the list is kept, where a disk lasts.
-    pub list_file: Option<PathBuf>,
-}
-
 impl Config {
     /// Reads the environment and the file that it names.
     pub fn read() -> Result<Config> {
@@ -149,13 +128,34 @@
             None | Some(Value::Null) => Limits::default(),
             Some(limits) => serde_json::from_value(limits).context("EDGE_CONFIG: limits")?,
         };
+        let limits_file = match (env("EDGE_LIMITS")?, file.remove("limits_file")) {
+            (Some(path), _) => Some(PathBuf::from(path)),
+            (None, None | Some(Value::Null)) => None,
+            (None, Some(Value::String(path))) if !path.is_empty() => Some(PathBuf::from(path)),
+            (None, Some(other)) => bail!("EDGE_CONFIG: limits_file: {other} is no path"),
+        };
         let own = match file.remove("sidecar") {
             None | Some(Value::Null) => Map::new(),
             Some(Value::Object(own)) => own,
             Some(_) => bail!("EDGE_CONFIG: sidecar: not an object"),
         };
-        let own = Rc::new(Own::read(&own, &limits, &site)?);
-        Ok(Config { name, listen, discovery, seed, known, site: Rc::new(site), own, fixed })
+        let Read { own, log, form, accept_after_term, end_after_term } = Read::read(&own, &limits, &site)?;
+        let (own, site) = (Rc::new(own), Rc::new(site));
+        Ok(Config {
+            name,
+            listen,
+            discovery,
+            seed,
+            known,
+            site,
+            own,
+            log,
+            form,
+            accept_after_term,
+            end_after_term,
+            limits_file,
+            fixed,
+        })
     }
 }
 
@@ -172,8 +172,17 @@
     }
 }
 
-impl Own {
-    fn read(own: &Map<String, Value>, limits: &Limits, site: &Site) -> Result<Own> {
+/// What the object `sidecar` says.
+struct Read {
+    own: Own,
+    log: LevelFilter,
+    form: Form,
+    accept_after_term: Duration,
+    end_after_term: Duration,
+}
+
+impl Read {
+    fn read(own: &Map<String, Value>, limits: &Limits, site: &Site) -> Result<Read> {
         let number = |key: &str, default: u64, least: u64| -> Result<u64> {
             let value = match own.get(key) {
                 None => default,
@@ -186,11 +195,16 @@
         };
         let millis = |key: &str, default: u64, least| number(key, default, least).map(Duration::from_millis);
         let log = match own.get("log") {
-            None => log::LevelFilter::Info,
-            Some(level) => level.as_str().and_then(|l| l.parse().ok()).with_context(|| {
+            None => LevelFilter::INFO,
+            Some(level) => level.as_str().and_then(level_of).with_context(|| {
                 format!("EDGE_CONFIG: sidecar.log: {level} is none of off, error, warn, info, debug, trace")
             })?,
         };
+        let form = match own.get("log_form").map(|form| form.as_str().unwrap_or_default()) {
+            None | Some("text") => Form::Text,
+            Some("json") => Form::Json,
+            Some(other) => bail!("EDGE_CONFIG: sidecar.log_form: '{other}' is neither text nor json"),
+        };
         // Half of the descriptors for each side.
         let half = (limits.sockets.saturating_sub(DESCRIPTORS_KEPT) / 2) as u64;
         if half == 0 {
@@ -236,8 +250,7 @@
         // Half of the memory for bodies: a request's and its answer's, each once more in a buffer on its way.
         let bodies = ((limits.memory_mb << 20) / 2 / (4 * body_bytes)).max(1);
         let requests = site.max_open.unwrap_or(u64::MAX).min(half).min(bodies);
-        Ok(Own {
-            log,
+        let own = Own {
             body_bytes: body_bytes as usize,
             requests: number("requests", requests, 1)? as usize,
             client_connections,
@@ -251,14 +264,31 @@
             probe: millis("probe_ms", connect.min(aim / 4).max(1), 1)?,
             // An answer is written in one go: one that stops for longer will not come in time.
             answer_stall: millis("answer_stall_ms", (aim / 4).max(1), 1)?,
-            accept_after_term: millis("accept_after_term_ms", 600, 0)?,
-            end_after_term: millis("end_after_term_ms", longest + 600, 1)?,
             watch,
             list_file,
-        })
+        };
+        let accept_after_term = millis("accept_after_term_ms", 600, 0)?;
+        let end_after_term = millis("end_after_term_ms", longest + 600, 1)?;
+        Ok(Read { own, log, form, accept_after_term, end_after_term })
     }
 }
 
+/// The settings in a text that is the settings object itself, or a configuration that holds it.
+///
+/// # Errors
+///
+/// The text is no JSON, or the settings in it are at fault; names the key.
+pub fn settings_of(text: &str) -> Result<Site> {
+    let mut value: Value = serde_json::from_str(text).context("not JSON")?;
+    let settings = value.as_object_mut().and_then(|object| object.remove("settings"));
+    dunlincleat_settings::read_value(settings.unwrap_or(value))
+}
+
+fn level_of(name: &str) -> Option<LevelFilter> {
+    // Numbers, which tracing would take too, are no names.
+    name.parse().ok().filter(|_| name.chars().all(|c| c.is_ascii_alphabetic()))
+}
+
 fn env(name: &'static str) -> Result<Option<String>> {
     match std::env::var(name) {
         Ok(value) if value.is_empty() => bail!("{name} is empty"),
@@ -273,6 +303,10 @@
     use super::*;
 
     fn own(limits: &str, sidecar: &str) -> Result<Rc<Own>> {
+        Ok(config(limits, sidecar)?.own)
+    }
+
+    fn config(limits: &str, sidecar: &str) -> Result<Config> {
         let text = format!(
             r#"{{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"a","limits":{limits},
                 "sidecar":{sidecar},"settings":{{"safety":{{}},
@@ -280,7 +314,7 @@
                            {{"name":"b","aim":400000,"deadline":2000000,"semantics":"retryable"}}],
                 "limits":{{"conn_idle":5000000,"connect_timeout":200000,"max_open":40000}}}}}}"#
         );
-        Ok(Config::parse(&text, First::Variable, |_| Ok(None))?.own)
+        Config::parse(&text, First::Variable, |_| Ok(None))
     }
 
     #[test]
@@ -288,7 +322,8 @@
         let own = own("{}", "{}")?;
         let ms = Duration::from_millis;
         assert_eq!((own.idle, own.connect, own.probe), (ms(2500), ms(200), ms(75)));
-        assert_eq!((own.accept_after_term, own.end_after_term), (ms(600), ms(2600)));
+        let config = config("{}", "{}")?;
+        assert_eq!((config.accept_after_term, config.end_after_term), (ms(600), ms(2600)));
         assert_eq!((own.client_connections, own.server_connections), (492, 492));
         Ok(())
     }
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,204 @@
+//! The assembly: reads what the sidecar is told, puts the engine between the HTTP front and the transports, follows
+//! signals. No request passes through here.
+
+#![forbid(unsafe_code)]
+
+pub mod cli;
+mod config;
+pub mod logger;
+
+use anyhow::{Context, Result, anyhow, bail};
+use config::Config;
+use dunlincleat::api::{Reports, Time};
+use dunlincleat_directory::{Follower, Listing, Snapshot};
+use dunlincleat_engine::clock::Clock;
+use dunlincleat_engine::shell::{Actor, mailbox};
+use dunlincleat_http::Engine;
+use dunlincleat_http::front::{self, Stage};
+use dunlincleat_http::list::{self, List};
+use dunlincleat_http::own::Own;
+use dunlincleat_http::peer::Peers;
+use dunlincleat_limits::{RuleSet, Severity};
+use dunlincleat_settings::Site;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// Serves until it is told to end. `limits` names the operator's file, before all else that names one.
+///
+/// # Errors
+///
+/// What it was told is at fault, its address is in use, or its decisions ended.
+pub fn serve(limits: Option<&Path>) -> Result<()> {
+    actix_rt::System::new().block_on(run(limits))
+}
+
+async fn run(limits: Option<&Path>) -> Result<()> {
+    // Caught before anything else: an order to read a new file, uncaught, would end the process.
+    let mut reload = signal(SignalKind::hangup()).context("SIGHUP")?;
+    let mut config = Config::read()?;
+    logger::start(config.log, config.form);
+    tracing::info!("sidecar {} starts, {} servers known", config.name, config.known.entries.len());
+    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
+    let (site, own) = (config.site.clone(), config.own.clone());
+    let mut site = site;
+    if site.settings.limits.peers {
+        tracing::warn!("messages between sidecars have no protocol yet: the module does without");
+        Rc::make_mut(&mut site).settings.limits.peers = false;
+    }
+    let (engine, mail) = mailbox();
+    let (caller, calls) = list::mailbox();
+    let clock = Clock::new();
+    let known = kept_list(&own, std::mem::take(&mut config.known), clock.now());
+    let mode = site.settings.discovery;
+    let (follower, known) = Follower::new(clock.now(), own.watch, mode, config.discovery, config.seed, known);
+    List::start(follower, clock, own.clone(), engine.clone(), calls);
+    let load_probes = site.settings.reports != Reports::Off;
+    let peers = Peers::new(own.clone(), site.fields.clone().into(), load_probes, engine.clone());
+    let most = u32::try_from(own.requests).unwrap_or(u32::MAX);
+    let actor = Actor::new(Engine::new(&site, config.seed, most), clock, peers, caller.clone());
+    let mut module = actix_rt::spawn(actor.run(mail, known));
+    let limits = Limits { named: limits.map(Path::to_path_buf), site: site.clone(), engine: engine.clone() };
+    let (rules, rules_read) = watch::channel(None);
+    if let Some(path) = limits.path(&config) {
+        limits.take_up(&path, &rules)?;
+    }
+    let (stage, stages) = watch::channel(Stage::Serving);
+    let mut front =
+        actix_rt::spawn(front::serve(config.listen, site, own.clone(), engine, stages, rules_read));
+    loop {
+        tokio::select! {
+            end = &mut front => return end.context("the server ended")?,
+            // Without its decisions it cannot serve: ended here, it is started again.
+            end = &mut module => return end.context("the module ended").and(Err(anyhow!("the module ended"))),
+            _ = reload.recv() => reloaded(&mut config, &caller, &limits, &rules),
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+        }
+    }
+    let told = Instant::now();
+    tracing::info!(
+        "told to end: serving on for {:?}, then answering what was taken",
+        config.accept_after_term
+    );
+    stage.send_replace(Stage::Leaving);
+    sleep(config.accept_after_term).await;
+    stage.send_replace(Stage::Closing);
+    match timeout_at(told + config.end_after_term, front).await {
+        Ok(end) => end.context("the server ended")??,
+        Err(_) => tracing::warn!("connections still open at the end"),
+    }
+    tracing::info!("sidecar {} ends", config.name);
+    Ok(())
+}
+
+/// Takes up a new configuration; what is at fault changes nothing. Requests, connections and what the module
+/// has learnt stay.
+fn reloaded(config: &mut Config, list: &list::Caller, limits: &Limits, rules: &RulesSender) {
+    let new = match Config::reread() {
+        Ok(new) => new,
+        Err(error) => {
+            tracing::error!("SIGHUP: going on with the old configuration: {error:#}");
+            return;
+        }
+    };
+    logger::set_level(new.log);
+    tracing::info!("SIGHUP: new configuration, discovery at {}", new.discovery);
+    let later = config.differs(&new);
+    if !later.is_empty() {
+        tracing::warn!("SIGHUP: taken up only at the next start: {}", later.join(", "));
+    }
+    if new.discovery != config.discovery {
+        config.discovery = new.discovery;
+        list.moved(new.discovery);
+    }
+    config.limits_file = new.limits_file;
+    match limits.path(config) {
+        Some(path) => {
+            if let Err(error) = limits.take_up(&path, rules) {
+                tracing::error!("SIGHUP: going on with the old limits: {error:#}");
+            }
+        }
+        // No file is named any more: nothing is narrowed.
+        None if rules.borrow().is_some() => {
+            tracing::info!("SIGHUP: no limits any more");
+            limits.swap(RuleSet::open(), rules);
+        }
+        None => {}
+    }
+}
+
+type RulesSender = watch::Sender<Option<Arc<RuleSet>>>;
+
+/// The operator's file: where it is, and what takes it up.
+struct Limits {
+    /// Named on the command line, before all else.
+    named: Option<PathBuf>,
+    site: Rc<Site>,
+    engine: dunlincleat_http::Handle,
+}
+
+impl Limits {
+    fn path(&self, config: &Config) -> Option<PathBuf> {
+        self.named.clone().or_else(|| config.limits_file.clone())
+    }
+
+    /// Reads the file, proves it, and swaps it in whole; a file at fault changes nothing.
+    fn take_up(&self, path: &Path, rules: &RulesSender) -> Result<()> {
+        let text = std::fs::read_to_string(path).with_context(|| format!("limits '{}'", path.display()))?;
+        let (faults, read) = dunlincleat_limits::check(&text, &self.site);
+        let (errors, warnings): (Vec<_>, Vec<_>) =
+            faults.iter().partition(|fault| fault.severity == Severity::Error);
+        for warning in warnings {
+            tracing::warn!("limits {}:{warning}", path.display());
+        }
+        let Some(read) = read else {
+            let faults: Vec<String> = errors.iter().map(ToString::to_string).collect();
+            bail!("limits '{}' refused, {} faults: {}", path.display(), faults.len(), faults.join(" | "));
+        };
+        let (routes, pools) = (read.rules().count() - 1, read.pools().len());
+        tracing::info!("limits {} taken up: {routes} routes, {pools} pools", path.display());
+        self.swap(read, rules);
+        Ok(())
+    }
+
+    /// The engine hears of the new rules before any request under them.
+    fn swap(&self, read: RuleSet, rules: &RulesSender) {
+        let read = Arc::new(read);
+        self.engine.rules(read.clone());
+        rules.send_replace(Some(read));
+    }
+}
+
+/// The list to start from: the one that was kept on disk, where that is of a later version than the one told.
+fn kept_list(own: &Own, told: Listing, now: Time) -> Listing {
+    let Some(path) = &own.list_file else { return told };
+    let read = match std::fs::read(path) {
+        Ok(bytes) => Snapshot::decode(&bytes),
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return told,
+        Err(error) => Err(error.into()),
+    };
+    match read {
+        Ok(kept) if kept.listing.rev > told.rev => {
+            let (rev, age) = (kept.listing.rev, kept.age(now).0 / 1_000_000);
+            tracing::info!("list kept in {}: revision {rev}, {age} s old", path.display());
+            kept.listing
+        }
+        Ok(kept) => {
+            let (rev, told_rev) = (kept.listing.rev, told.rev);
+            tracing::info!(
+                "list kept in {}: revision {rev} is not used, {told_rev} was told",
+                path.display()
+            );
+            told
+        }
+        Err(error) => {
+            tracing::warn!("list kept in {} is not used: {error:#}", path.display());
+            told
+        }
+    }
+}
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -209,7 +209,8 @@
                 let latency = parts.span("latency")?;
                 let server = instance.known(parts.text("endpoint")?)?;
                 parts.load("pressure", &mut self.load)?;
-                Event::Outcome { id, attempt, status, closed, latency, server, load: &self.load }
+                let again = true;
+                Event::Outcome { id, attempt, status, closed, again, latency, server, load: &self.load }
             }
             "PROBE_DONE" => {
                 let latency = parts.span("latency")?;
--- a/src/api.rs
+++ b/src/api.rs
@@ -344,6 +344,8 @@
         status: Status,
         /// The request is over.
         closed: bool,
+        /// The operator's limits allow one more attempt; they only narrow what the settings allow.
+        again: bool,
         /// Time since it was sent.
         latency: Span,
         /// Where it was sent.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -153,6 +153,8 @@
     deadline: Time,
     attempts: Vec<Sent>,
     streaming: bool,
+    /// The operator's limits allow no further attempt.
+    spent: bool,
     /// It was held before and has its timer.
     timed: bool,
 }
@@ -327,9 +329,10 @@
             }
             Event::Gone { id } => drop(self.open.remove(&id)),
             Event::First { id, .. } => self.open.get_mut(&id).into_iter().for_each(|o| o.streaming = true),
-            Event::Outcome { id, attempt, status, closed, latency, server, load } => {
+            Event::Outcome { id, attempt, status, closed, again, latency, server, load } => {
                 self.note(now, server, status, Some(latency), load);
                 self.learn_turn(now, id, attempt, status, latency);
+                self.open.get_mut(&id).into_iter().for_each(|open| open.spent |= !again);
                 self.on_outcome(now, id, closed, todo);
                 self.serve_held(now, 1, todo);
             }
@@ -862,7 +865,7 @@
         let Some(class) = self.class(open.class) else { return self.give_up(id, todo) };
         let aim = open.arrived + class.aim;
         let last = if class.late_worth > 0.0 { open.deadline } else { aim.min(open.deadline) };
-        let over = now >= last || open.attempts.len() as u32 >= self.set.limits.max_attempts;
+        let spent = open.spent || open.attempts.len() as u32 >= self.set.limits.max_attempts;
         // Room is judged by the aim while it can be kept: a late answer keeps little of its worth.
         let target = if now < aim { aim.min(last) } else { last };
         let mut wanted = Wanted {
@@ -884,7 +887,7 @@
         };
         // Work that no standard core ends in time would only keep a server from what can be served.
         let hopeless = open.hint.is_some_and(|hint| hint > (last - now).times(HOPELESS));
-        if over || !may_go || open.streaming || hopeless {
+        if now >= last || spent || !may_go || open.streaming || hopeless {
             return self.give_up(id, todo);
         }
         // What a client still waits may be far less than the aim: what was held past it was lost.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -243,7 +243,17 @@
         }
         let closed = asked.answer.is_some();
         let attempt = Attempt(at as u32);
-        self.event(Event::Outcome { id: RequestId(id), attempt, status, closed, latency, server, load });
+        let again = true;
+        self.event(Event::Outcome {
+            id: RequestId(id),
+            attempt,
+            status,
+            closed,
+            again,
+            latency,
+            server,
+            load,
+        });
     }
 
     /// Answers a probe that is out.
