Limits by route on the running sidecar: attempts, times, budgets, caps, pools, second copies

Need: an operator could set nothing by route or class, and a file that is unsafe must be refused before it is used.

Change: a request carries the rule that it was taken under to its end; the engine admits, clamps and pays by it, and a pool has a decision module of its own. A second copy that is due is an event to the decision module, which sends one within the key's group or none. Servers gone are remembered by at most 1,024 names and 256 KiB; a list that is odd in every entry writes five lines.

--- a/crates/directory/src/book.rs
+++ b/crates/directory/src/book.rs
@@ -14,8 +14,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// The most servers that left of which is remembered that they did.
-const GRAVES: usize = 4096;
+/// The most servers that left of which is remembered that they did, and the most bytes of their names.
+const GRAVES: (usize, usize) = (1024, 256 << 10);
 
 /// What a word of discovery's comes to.
 #[derive(Clone, Debug, PartialEq)]
@@ -126,6 +126,8 @@
     rev: u64,
     held: BTreeMap<String, Held>,
     graves: BTreeMap<String, Grave>,
+    /// The bytes of their names.
+    grave_bytes: usize,
     /// Said to be up by the first list of a new count of versions, and left out as told to leave before.
     kept_out: BTreeSet<String>,
     /// As last delivered.
@@ -247,18 +249,27 @@
             }
             None => told_boot,
         };
-        self.graves.remove(&entry.uid);
+        self.dig_up(&entry.uid);
         self.held.insert(entry.uid.clone(), Held { entry, told_boot, order: self.order });
     }
 
     fn bury(&mut self, uid: &str) {
         let Some(held) = self.held.remove(uid) else { return };
         self.order += 1;
+        self.dig_up(uid);
         self.graves.insert(uid.to_owned(), Grave { told_boot: held.told_boot, order: self.order });
-        while self.graves.len() > GRAVES {
+        self.grave_bytes += uid.len();
+        // Long names by thousands once filled the memory of a small instance.
+        while self.graves.len() > GRAVES.0 || self.grave_bytes > GRAVES.1 {
             let oldest = self.graves.iter().min_by_key(|(_, grave)| grave.order);
             let Some(oldest) = oldest.map(|(uid, _)| uid.clone()) else { return };
-            self.graves.remove(&oldest);
+            self.dig_up(&oldest);
+        }
+    }
+
+    fn dig_up(&mut self, uid: &str) {
+        if self.graves.remove(uid).is_some() {
+            self.grave_bytes -= uid.len();
         }
     }
 
--- a/crates/engine/src/clock.rs
+++ b/crates/engine/src/clock.rs
@@ -14,7 +14,8 @@
 
 impl Clock {
     /// Begins to count.
-    pub fn new() -> Clock {
+    #[must_use]
+    pub fn begin() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), unix: unix.as_micros() as u64 }
     }
--- a/crates/engine/src/core.rs
+++ b/crates/engine/src/core.rs
@@ -220,17 +220,28 @@
     /// Where it stands with its route, until it is answered.
     stand: Stand,
     answered: bool,
-    /// The servers of its attempts, in order, and how many are out.
+    /// The servers of its attempts, in order, which of them have ended, and how many are out.
     attempts: Vec<ServerId>,
+    ended: Vec<bool>,
     out: usize,
 }
 
+/// What a timer was set for.
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    Module(SlotId, Token),
+    /// A second copy of a request.
+    Copy(RequestId),
+}
+
 /// The engine.
 pub struct Engine<P, B> {
     pools: Pools,
     gate: Gate,
     max_attempts: u32,
-    timers: Timers<(SlotId, Token)>,
+    /// Attempts may be called off.
+    cancel: bool,
+    timers: Timers<Due>,
     requests: FxHashMap<RequestId, Entry<P>>,
     places: Places,
     /// How long a place stays a gone server's: as long as a request may remember it.
@@ -248,6 +259,7 @@
         let longest = site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         Engine {
             max_attempts: site.settings.limits.max_attempts,
+            cancel: site.settings.limits.cancel,
             remembered: longest,
             pools: Pools::new(site, seed, longest),
             gate: Gate::new(most),
@@ -285,8 +297,11 @@
 
     /// Does what is due.
     pub fn wake(&mut self, now: Time, out: &mut Vec<Output<P, B>>) {
-        while let Some((slot, token)) = self.timers.pop(now) {
-            self.event(now, slot, Event::Timer { token }, out);
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Due::Module(slot, token) => self.event(now, slot, Event::Timer { token }, out),
+                Due::Copy(id) => self.copy(now, id, out),
+            }
         }
         self.own_inputs(now, out);
     }
@@ -326,8 +341,8 @@
                     wait = rule.timeout.map_or(wait, |timeout| wait.min(timeout));
                 }
                 let left = Span(wait.0.saturating_sub((now - received).0));
-                let (answered, attempts) = (false, Vec::new());
-                let entry = Entry { payload, wait, slot, rule, stand, answered, attempts, out: 0 };
+                let (answered, attempts, ended) = (false, Vec::new(), Vec::new());
+                let entry = Entry { payload, wait, slot, rule, stand, answered, attempts, ended, out: 0 };
                 self.requests.insert(id, entry);
                 self.event(now, slot, Event::Request { id, left, class, tenant, hint, repeat }, out);
             }
@@ -376,17 +391,23 @@
         let (mut closed, mut again, mut slot) = (true, true, SlotId::ALL);
         if let Some(entry) = self.requests.get_mut(&id) {
             entry.out = entry.out.saturating_sub(1);
+            if let Some(ended) = entry.ended.get_mut(attempt.0 as usize) {
+                *ended = true;
+            }
+            if let Some(rule) = entry.rule.as_ref().filter(|_| status == Status::Ok) {
+                self.gate.took(rule, latency);
+            }
             slot = entry.slot;
             match (status, body) {
                 (Status::Ok, Some(body)) => self.settle(id, Answer::Served(body), out),
                 _ => closed = entry.answered,
             }
         }
-        if let Some(entry) = self.requests.get_mut(&id).filter(|e| !e.answered && e.out == 0) {
-            if let Some(rule) = &entry.rule {
-                self.gate.waits_again(rule, &mut entry.stand);
-                again = self.gate.repeat(now, rule, &mut entry.stand, entry.attempts.len() as u32);
-            }
+        if let Some(entry) = self.requests.get_mut(&id).filter(|e| !e.answered && e.out == 0)
+            && let Some(rule) = &entry.rule
+        {
+            self.gate.waits_again(rule, &mut entry.stand);
+            again = self.gate.repeat(now, rule, &mut entry.stand, entry.attempts.len() as u32);
         }
         let outcome = Event::Outcome { id, attempt, status, closed, again, latency, server, load: &load };
         self.event(now, slot, outcome, out);
@@ -475,7 +496,7 @@
                     self.own.push_back(Input::Probed { server, asked: slot, ended });
                 }
             }
-            Action::Timer { token, delay } => self.timers.set(now + delay, (slot, token)),
+            Action::Timer { token, delay } => self.timers.set(now + delay, Due::Module(slot, token)),
             Action::Watch => out.push(Output::Watch),
             // Messages between instances have no protocol yet; the settings keep the module from any.
             Action::Tell { .. } => {}
@@ -483,6 +504,17 @@
         }
     }
 
+    /// A second copy is due: where the first attempt is still out alone and the rule pays for it, the module says
+    /// whether and where it goes.
+    fn copy(&mut self, now: Time, id: RequestId, out: &mut Vec<Output<P, B>>) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Some(rule) = entry.rule.as_ref().filter(|_| !entry.answered && entry.out == 1) else { return };
+        if entry.attempts.len() == 1 && self.gate.repeat(now, rule, &mut entry.stand, 1) {
+            let slot = entry.slot;
+            self.event(now, slot, Event::Copy { id }, out);
+        }
+    }
+
     fn send(
         &mut self,
         now: Time,
@@ -494,6 +526,7 @@
         let Some(entry) = self.requests.get_mut(&id) else { return };
         let attempt = Attempt(entry.attempts.len() as u32);
         entry.attempts.push(server);
+        entry.ended.push(false);
         entry.out += 1;
         self.tally.attempts += 1;
         let over = entry.answered || attempt.0 >= self.max_attempts;
@@ -504,6 +537,9 @@
             self.gate.goes_out(rule, &mut entry.stand);
             until = rule.attempt_timeout.map_or(until, |timeout| until.min(now + timeout));
             connect = rule.connect_timeout;
+            if let Some(after) = self.gate.copy_after(rule).filter(|_| attempt.0 == 0) {
+                self.timers.set(now + after, Due::Copy(id));
+            }
         }
         let payload = entry.payload.clone();
         let there = self.places.goes_out(server);
@@ -525,6 +561,13 @@
             Answer::Failed => self.tally.failed += 1,
         }
         out.push(Output::Answer { id, answer });
+        // The copy that lost has nobody to answer to.
+        let entry = self.requests.get(&id).filter(|_| self.cancel);
+        for (n, server) in
+            entry.iter().flat_map(|e| e.attempts.iter().enumerate().filter(|(n, _)| !e.ended[*n]))
+        {
+            out.push(Output::Cancel { id, attempt: Attempt(n as u32), server: *server });
+        }
     }
 
     /// Nothing is owed to a request any more: its place with its route is given back here and nowhere else. Gives
--- a/crates/http/src/list.rs
+++ b/crates/http/src/list.rs
@@ -26,6 +26,8 @@
 
 /// Lines of all watches that wait to be taken in; a watch that floods is read no faster.
 const WAITING: usize = 16;
+/// So many odd things of one list are told one by one.
+const ODD_LINES: usize = 5;
 /// The file of the list is replaced at most this often.
 const KEEP: Duration = Duration::from_secs(2);
 
@@ -158,7 +160,15 @@
     }
 
     fn deliver(&mut self, delivery: Delivery) {
-        delivery.odd.iter().for_each(|odd| tracing::warn!("{odd}"));
+        // A list that is odd in every entry must not fill the log.
+        delivery.odd.iter().take(ODD_LINES).for_each(|odd| tracing::warn!("{odd}"));
+        if delivery.odd.len() > ODD_LINES {
+            tracing::warn!(
+                "and {} more odd things in revision {}",
+                delivery.odd.len() - ODD_LINES,
+                delivery.rev
+            );
+        }
         self.unkept = self.own.list_file.is_some();
         self.engine.listed(delivery);
     }
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -1,7 +1,7 @@
 //! Admits requests and repeats under their rules. Owns the counts and budgets of each route, by name, over a reload: a
 //! route's request gives its place back by [`Gate::over`], once, under the rule that it was taken under.
 
-use crate::file::Budget;
+use crate::file::{Budget, CopyAfter};
 use crate::routes::Rule;
 use dunlincleat::api::{Span, Time};
 use rustc_hash::FxHashMap;
@@ -39,8 +39,16 @@
     /// Repeats that are paid for, as of a time.
     credit: f64,
     at: Option<Time>,
+    /// Answers that were timed, and the delay that the quantile of the rule lies at.
+    timed: u32,
+    quantile: f64,
 }
 
+/// So many answers must have been timed before a quantile is believed.
+const TIMED: u32 = 20;
+/// How far an answer moves the quantile, in parts of it.
+const MOVE: f64 = 0.05;
+
 impl Route {
     /// Lets time pass on the budget: what first tries paid is forgotten over [`MEMORY`], the least rate comes in.
     fn settle(&mut self, now: Time, budget: &Budget) {
@@ -149,6 +157,31 @@
         true
     }
 
+    /// How long after the first attempt a second copy is due, if ever.
+    #[must_use]
+    pub fn copy_after(&self, rule: &Rule) -> Option<Span> {
+        match rule.second_copy.as_ref()? {
+            CopyAfter::Delay(after) => Some(*after),
+            CopyAfter::Quantile(_) => {
+                let route = self.routes.get(&rule.name).filter(|route| route.timed >= TIMED)?;
+                Some(Span(route.quantile as u64).max(Span(1000)))
+            }
+        }
+    }
+
+    /// An attempt was answered after so long. The quantile rises with each answer behind it and falls with each before,
+    /// so that it settles where the wanted part lies before it (stochastic approximation, Robbins and Monro 1951).
+    pub fn took(&mut self, rule: &Rule, latency: Span) {
+        let Some(CopyAfter::Quantile(part)) = rule.second_copy else { return };
+        let Some(route) = self.routes.get_mut(&rule.name) else { return };
+        if route.timed == 0 {
+            route.quantile = latency.f();
+        }
+        route.timed = route.timed.saturating_add(1);
+        let before = f64::from(u8::from(latency.f() <= route.quantile));
+        route.quantile = (route.quantile * (MOVE * (part - before)).exp()).max(1.0);
+    }
+
     /// A request is over: its place is given back, and what was paid and not spent.
     pub fn over(&mut self, rule: &Rule, stand: Stand) {
         let Some(route) = self.routes.get_mut(&rule.name) else { return };
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -139,7 +139,7 @@
             Some(Value::Object(own)) => own,
             Some(_) => bail!("EDGE_CONFIG: sidecar: not an object"),
         };
-        let Read { own, log, form, accept_after_term, end_after_term } = Read::read(&own, &limits, &site)?;
+        let Told { own, log, form, accept_after_term, end_after_term } = Told::read(&own, &limits, &site)?;
         let (own, site) = (Rc::new(own), Rc::new(site));
         Ok(Config {
             name,
@@ -173,7 +173,7 @@
 }
 
 /// What the object `sidecar` says.
-struct Read {
+struct Told {
     own: Own,
     log: LevelFilter,
     form: Form,
@@ -181,8 +181,8 @@
     end_after_term: Duration,
 }
 
-impl Read {
-    fn read(own: &Map<String, Value>, limits: &Limits, site: &Site) -> Result<Read> {
+impl Told {
+    fn read(own: &Map<String, Value>, limits: &Limits, site: &Site) -> Result<Told> {
         let number = |key: &str, default: u64, least: u64| -> Result<u64> {
             let value = match own.get(key) {
                 None => default,
@@ -269,7 +269,7 @@
         };
         let accept_after_term = millis("accept_after_term_ms", 600, 0)?;
         let end_after_term = millis("end_after_term_ms", longest + 600, 1)?;
-        Ok(Read { own, log, form, accept_after_term, end_after_term })
+        Ok(Told { own, log, form, accept_after_term, end_after_term })
     }
 }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -52,7 +52,7 @@
     }
     let (engine, mail) = mailbox();
     let (caller, calls) = list::mailbox();
-    let clock = Clock::new();
+    let clock = Clock::begin();
     let known = kept_list(&own, std::mem::take(&mut config.known), clock.now());
     let mode = site.settings.discovery;
     let (follower, known) = Follower::new(clock.now(), own.watch, mode, config.discovery, config.seed, known);
--- /dev/null
+++ b/crates/sidecar/tests/limits.rs
@@ -0,0 +1,170 @@
+//! The operator's file on the running program: what it narrows, what a reload keeps, what the command line says of it.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use std::collections::HashMap;
+use std::path::Path;
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// The file is named by the environment.
+fn with_limits(setup: Setup, file: &Path) -> Setup {
+    let mut setup = setup;
+    setup.env.push(("EDGE_LIMITS", file.display().to_string()));
+    setup
+}
+
+#[test]
+fn a_route_has_its_attempts_and_others_keep_theirs() {
+    // Each attempt may have run, so reads are repeated, but not on the route.
+    let (first, second) = (Server::start(|_, _| Act::Break), Server::start(|_, _| Act::Break));
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("limits.toml");
+    std::fs::write(&file, "[[route]]\nname = 'once'\nattempts = 1\nmatch = { path = '/read/once' }").unwrap();
+    let known = vec![entry("s1", first.address, "up"), entry("s2", second.address, "up")];
+    let sidecar = with_limits(Setup::new(known), &file).start();
+    sidecar.logged("taken up: 1 routes, 0 pools");
+    let attempts = || first.count() + second.count();
+    sidecar.ask(&read("r1").replace("GET /read", "GET /read/once"));
+    assert_eq!(attempts(), 1);
+    sidecar.ask(&read("r2"));
+    assert!(attempts() > 2, "the route's limit acts on another");
+}
+
+#[test]
+fn a_full_route_refuses_and_another_is_served() {
+    let (gate, wait) = latch("slow");
+    let server = Server::start(
+        move |_, message| if message.target() == "/read/slow" { wait.clone() } else { ok("x") },
+    );
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("limits.toml");
+    std::fs::write(&file, "[[route]]\nname = 'slow'\nmax_in_hand = 1\nmatch = { path = '/read/slow' }")
+        .unwrap();
+    let sidecar = with_limits(Setup::new(vec![entry("s1", server.address, "up")]), &file).start();
+    let slow = |id| read(id).replace("GET /read", "GET /read/slow");
+    let mut client = sidecar.connect();
+    client.send(&slow("r1"));
+    server.requests.wait(1, "requests");
+    assert_eq!(sidecar.ask(&slow("r2")).status(), 503);
+    assert_eq!(sidecar.ask(&read("r3")).status(), 200);
+    gate.send(()).unwrap();
+    assert_eq!(client.answer().text(), "slow");
+    assert_eq!(server.count(), 2, "the refused request reached a server");
+}
+
+#[test]
+fn two_hundred_reloads_under_five_thousand_requests_lose_none() {
+    const GOOD: [&str; 2] = [
+        "[defaults]\nattempts = 1\nattempt_timeout = '380ms'",
+        "[defaults]\nattempts = 2\n[[route]]\nname = 'r'\nmatch = { class = 'read' }\npool = 'p'\n[[pool]]\nname = 'p'\nzones = ['a']",
+    ];
+    const BAD: &str = "[defaults]\nattempts = 0\ntimeout = '9s'";
+    let servers: Vec<Server> = (0..3).map(|_| Server::start(|_, message| ok(message.target()))).collect();
+    let known = servers.iter().enumerate().map(|(n, s)| entry(&format!("s{n}"), s.address, "up")).collect();
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("limits.toml");
+    std::fs::write(&file, GOOD[0]).unwrap();
+    let setup = with_limits(Setup::new(known).set("/sidecar/log", json!("info")), &file);
+    let sidecar = setup.start();
+    let done = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let ask = |worker: usize| {
+            let (sidecar, done) = (&sidecar, &done);
+            move || {
+                let mut client = sidecar.connect();
+                let (mut asked, mut lost) = (0, HashMap::new());
+                while asked < 1250 || !done.load(Ordering::SeqCst) {
+                    client.send(&read(&format!("w{worker}-{asked}")));
+                    let answer = client.answer();
+                    if answer.status() != 200 || !answer.text().starts_with("/read") {
+                        *lost.entry(answer.status()).or_insert(0) += 1;
+                    }
+                    asked += 1;
+                }
+                (asked, lost)
+            }
+        };
+        let workers: Vec<_> = (0..4).map(|worker| scope.spawn(ask(worker))).collect();
+        for n in 0..200 {
+            let bad = n % 3 == 2;
+            std::fs::write(&file, if bad { BAD } else { GOOD[n % 2] }).unwrap();
+            let seen = sidecar.log.len();
+            sidecar.signal("HUP");
+            // Each is taken up or refused before the next.
+            let said = if bad { "going on with the old limits" } else { "taken up: " };
+            let end = std::time::Instant::now() + PATIENCE;
+            while !sidecar.log.all()[seen..].iter().any(|line| line.contains(said)) {
+                assert!(std::time::Instant::now() < end, "reload {n} is not told of");
+                std::thread::yield_now();
+            }
+        }
+        done.store(true, Ordering::SeqCst);
+        let ended: Vec<(usize, HashMap<u16, usize>)> =
+            workers.into_iter().map(|w| w.join().unwrap()).collect();
+        let asked: usize = ended.iter().map(|(asked, _)| asked).sum();
+        assert!(asked >= 5000);
+        assert!(ended.iter().all(|(_, lost)| lost.is_empty()), "{ended:?}");
+    });
+    let log = sidecar.log.all().join("\n");
+    assert!(log.contains("DL005: defaults.attempts") && log.contains("DL031: defaults.timeout"));
+}
+
+#[test]
+fn a_file_at_fault_ends_the_start_with_all_its_faults() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("limits.toml");
+    std::fs::write(&file, "[defaults]\nattempts = 0\ntimeout = 3").unwrap();
+    let (status, log) = with_limits(Setup::new(vec![]), &file).spawn().end();
+    assert!(!status.success());
+    assert!(log.contains("2 faults") && log.contains("DL005") && log.contains("DL003"), "{log}");
+}
+
+fn program(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_dunlincleat"))
+        .args(arguments)
+        .env_remove("EDGE_CONFIG")
+        .output()
+        .unwrap()
+}
+
+#[test]
+fn the_command_line_proves_shows_and_explains() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = |name: &str| folder.path().join(name).display().to_string();
+    let (file, config) = (path("limits.toml"), path("config.json"));
+    std::fs::write(&config, json!({"settings": settings()}).to_string()).unwrap();
+    std::fs::write(&file, "[defaults]\nattempts = 7\n\n[[route]]\nname = 'x'\nmatch = { class = 'reed' }")
+        .unwrap();
+    let text = |output: &Output| String::from_utf8_lossy(&output.stdout).into_owned();
+    let found = program(&["check", &file, "--settings", &config]);
+    assert_eq!(found.status.code(), Some(1));
+    assert!(text(&found).contains(":2:12: error DL020: defaults.attempts:"), "{}", text(&found));
+    assert!(text(&found).contains(":6:19: error DL010: route[0].match.class:"), "{}", text(&found));
+    let found = program(&["check", &file, "--settings", &config, "--format", "json"]);
+    let told: serde_json::Value = serde_json::from_slice(&found.stdout).unwrap();
+    assert_eq!((&told["errors"], &told["faults"][0]["code"]), (&json!(2), &json!("DL020")));
+    // Without settings its form alone is proved, and that is said.
+    let form = program(&["check", &file]);
+    assert_eq!(form.status.code(), Some(0));
+    assert!(text(&form).contains("its form alone"));
+    assert_eq!(program(&["check", &path("none.toml")]).status.code(), Some(2));
+    assert_eq!(program(&["check", &file, "--settings", &file]).status.code(), Some(2));
+    std::fs::write(
+        &file,
+        "[defaults]\nattempts = 1\n[[route]]\nname = 'x'\ntimeout = '90ms'\nmatch = { class = 'pay' }",
+    )
+    .unwrap();
+    let shown = text(&program(&["route", &file, "--settings", &config, "--class", "pay"]));
+    assert!(shown.contains("route x (line 4)"), "{shown}");
+    assert!(shown.contains("attempts         1  (line 2)") && shown.contains("90ms  (line 5)"), "{shown}");
+    let shown = text(&program(&["route", &file, "--settings", &config, "--class", "read"]));
+    assert!(shown.contains("route default (no route matches)"), "{shown}");
+    assert_eq!(program(&["route", &file, "--settings", &config, "--class", "reed"]).status.code(), Some(2));
+    assert!(text(&program(&["explain", "dl033"])).contains("key is forgotten"));
+    assert_eq!(program(&["explain", "DL999"]).status.code(), Some(2));
+    assert!(text(&program(&["completions", "bash"])).contains("dunlincleat"));
+    assert!(text(&program(&["manual"])).contains(".TH dunlincleat"));
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -46,7 +46,7 @@
 
 /// A server, numbered by the host for one instance. The number of one that is gone may be given to another,
 /// with another common name, once nothing is out there and no request remembers it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 
 /// A client's request.
@@ -353,6 +353,11 @@
         /// The server's load report, empty where none came.
         load: &'a [f64],
     },
+    /// A second copy of a request is due by the operator's limits, while its only attempt is out.
+    Copy {
+        /// Which.
+        id: RequestId,
+    },
     /// A probe ended.
     Probed {
         /// Of which server.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -324,7 +324,7 @@
                 if left > self.patience(class).times(4.0) && self.looks(now, class, todo) {
                     self.held.push_back(id);
                 } else {
-                    self.advance(now, id, todo);
+                    self.advance(now, id, false, todo);
                 }
             }
             Event::Gone { id } => drop(self.open.remove(&id)),
@@ -336,6 +336,12 @@
                 self.on_outcome(now, id, closed, todo);
                 self.serve_held(now, 1, todo);
             }
+            Event::Copy { id } => {
+                let one_out = |o: &Open| o.attempts.iter().filter(|a| a.ended.is_none()).count() == 1;
+                if self.set.limits.second_copies && self.open.get(&id).is_some_and(one_out) {
+                    self.advance(now, id, true, todo);
+                }
+            }
             Event::Probed { server, status, load, .. } => {
                 if let Some(s) = self.server_mut(server).filter(|s| s.probing.is_some()) {
                     s.probing = None;
@@ -855,12 +861,13 @@
         if closed {
             self.open.remove(&id);
         } else if self.open.get(&id).is_some_and(|o| o.attempts.iter().all(|a| a.ended.is_some())) {
-            self.advance(now, id, todo);
+            self.advance(now, id, false, todo);
         }
     }
 
-    /// Sends a request that has no attempt out, holds it for a moment, or gives it its final answer.
-    fn advance(&mut self, now: Time, id: RequestId, todo: &mut Vec<Action>) {
+    /// Sends a request that has no attempt out, holds it for a moment, or gives it its final answer. A second
+    /// copy goes out or not: the attempt that is out decides the rest.
+    fn advance(&mut self, now: Time, id: RequestId, copy: bool, todo: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
         let Some(class) = self.class(open.class) else { return self.give_up(id, todo) };
         let aim = open.arrived + class.aim;
@@ -888,13 +895,17 @@
         // Work that no standard core ends in time would only keep a server from what can be served.
         let hopeless = open.hint.is_some_and(|hint| hint > (last - now).times(HOPELESS));
         if now >= last || spent || !may_go || open.streaming || hopeless {
-            return self.give_up(id, todo);
+            return if copy {
+            } else {
+                self.give_up(id, todo)
+            };
         }
         // What a client still waits may be far less than the aim: what was held past it was lost.
         let hold_until = open.arrived + class.aim.min(open.deadline - open.arrived).times(HOLD);
         let (until, fresh) = (last, open.attempts.is_empty());
         match self.pick(now, wanted) {
             Some(server) => self.send(now, id, server, until, todo),
+            None if copy => {}
             None if fresh && now < hold_until && !self.ready.is_empty() => {
                 self.held.push_back(id);
                 // One timer for each, however often it goes back: a timer each time flooded the host.
@@ -953,7 +964,7 @@
     fn serve_held(&mut self, now: Time, most: usize, todo: &mut Vec<Action>) {
         for _ in 0..self.held.len().min(most) {
             let Some(id) = self.held.pop_front() else { return };
-            self.advance(now, id, todo);
+            self.advance(now, id, false, todo);
         }
     }
 
