Stand-ins in simulated time around the serving engine, an auditor proved by mutants, a lab

Change: crates/fleet has nodes (cores, queue, heavy tails, cold ramp, falling over, stalls, silence), callers, the list, zones and a time line of faults, read from TOML with units; it drives the engine that serves, from one seed to the byte. The wire host numbers endpoints by the engine's places. Benchmarks of the engine's path, of matching and of a sidecar's latency. An example file of limits under deploy/.

--- /dev/null
+++ b/crates/engine/benches/path.rs
@@ -0,0 +1,109 @@
+//! One request's way through the engine and the decision module: taken, drawn, sent, answered. By servers, with and
+//! without a file of limits; the window's step is in it, at a request a millisecond.
+
+// The macro below makes a public function without a page.
+#![allow(missing_docs)]
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use dunlincleat::api::{Attempt, ListKind, RequestId, ServerId, Span, State, Status, Time};
+use dunlincleat_directory::{Delivery, Entry};
+use dunlincleat_engine::{Ask, Ended, Engine, Input, Output};
+use dunlincleat_limits::{Rule, check};
+use dunlincleat_settings::{Site, read};
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use std::alloc::System;
+use std::hint::black_box;
+use std::sync::Arc;
+
+#[global_allocator]
+static GLOBAL: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const SETTINGS: &str = r#"{"zones":["a"],"tenants":[{"name":"t","share":1.0,"quota_per_s":100.0}],
+    "stats":{"fields":["inflight","queue","util"],"how":"inline"},
+    "limits":{"try_limit":4,"connect_timeout":100000},
+    "classes":[{"name":"read","aim":300000,"deadline":740000,"gain":1.0,"late_worth":0.5,"semantics":"retryable"}],
+    "safety":{"cold":1000000,"cold_from":0.3}}"#;
+const FILE: &str =
+    "[defaults]\nattempts = 3\nattempt_timeout = '200ms'\nmax_in_hand = 100\nretry_budget = { part = 0.2 }";
+
+struct Path {
+    engine: Engine<u64, u64>,
+    rule: Option<Arc<Rule>>,
+    now: u64,
+    id: u64,
+    out: Vec<Output<u64, u64>>,
+}
+
+impl Path {
+    fn new(servers: u16, limits: bool) -> Path {
+        let site: Site = read(SETTINGS).expect("the settings are right");
+        let rules = check(FILE, &site).1.expect("the file is right");
+        let mut engine = Engine::new(&site, 7, 10_000);
+        let entry = |n: u16| Entry {
+            uid: format!("s{n}"),
+            endpoint: Some(([127, 0, 0, 1], 1 + n).into()),
+            zone: "a".to_owned(),
+            model: String::new(),
+            cell: 0,
+            state: State::Ready,
+            weight: 1.0,
+            boot_ms: 0,
+        };
+        let entries = (0..servers).map(entry).collect();
+        let now = 1_800_000_000_000_000;
+        let mut out = Vec::new();
+        let known = Delivery { kind: ListKind::Cached, rev: 1, entries, odd: Vec::new() };
+        engine.input(Time(now), Input::Listed(known), &mut out);
+        let rule = limits.then(|| rules.default_rule().clone());
+        Path { engine, rule, now, id: 0, out }
+    }
+
+    /// One request, answered after 5 ms of its own clock.
+    fn request(&mut self) {
+        self.now += 1000;
+        self.id += 1;
+        let (now, id) = (Time(self.now), RequestId(self.id));
+        let ask = Ask {
+            class: 0,
+            tenant: 0,
+            wait: Span(740_000),
+            hint: None,
+            repeat: false,
+            rule: self.rule.clone(),
+        };
+        self.out.clear();
+        self.engine.wake(now, &mut self.out);
+        self.out.clear();
+        self.engine.input(now, Input::Request { id, ask, received: now, payload: self.id }, &mut self.out);
+        let sent = self.out.iter().find_map(|output| match output {
+            Output::Attempt { attempt, server, .. } => Some((*attempt, *server)),
+            _ => None,
+        });
+        let Some((attempt, server)): Option<(Attempt, ServerId)> = sent else { return };
+        self.out.clear();
+        let load = vec![1.0, 0.0, 0.4];
+        let ended = Ended { status: Status::Ok, latency: Span(5000), load, body: Some(self.id) };
+        self.engine.input(now, Input::Ended { id, attempt, server, ended }, &mut self.out);
+        black_box(&self.out);
+    }
+}
+
+fn requests(c: &mut Criterion) {
+    let mut group = c.benchmark_group("request");
+    for servers in [12, 160, 1000] {
+        for limits in [false, true] {
+            let name = if limits { "with limits" } else { "without a file" };
+            let mut path = Path::new(servers, limits);
+            (0..5000).for_each(|_| path.request());
+            let region = Region::new(GLOBAL);
+            (0..5000).for_each(|_| path.request());
+            let allocations = region.change().allocations as f64 / 5000.0;
+            println!("request/{name}/{servers}: {allocations:.1} allocations a request");
+            group.bench_function(BenchmarkId::new(name, servers), |b| b.iter(|| path.request()));
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, requests);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/fleet/src/audit.rs
@@ -0,0 +1,173 @@
+//! The four rules, from what nodes and callers saw alone. It knows nothing of the code under test.
+
+use crate::node::Job;
+use crate::scenario::GRACE;
+use dunlincleat::api::Effect;
+use rustc_hash::FxHashMap;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// The slack of each time limit, in microseconds.
+pub const SLACK: u64 = 50_000;
+/// A refusal may come so long after the last thing that happened to its request: a part of the aim, and the slack of a
+/// look at the servers.
+const HELD: (f64, u64) = (0.1, 20_000);
+
+/// A broken rule.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Fault {
+    /// Which rule.
+    pub rule: &'static str,
+    /// When, in microseconds since the start.
+    pub at_us: u64,
+    /// What was seen.
+    pub what: String,
+}
+
+/// How a request was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// With the answer made for this request.
+    Served(u64),
+    /// Refused.
+    Refused,
+    /// Failed.
+    Failed,
+}
+
+struct Request {
+    effect: Effect,
+    aim: u64,
+    gives_up: u64,
+    answers: u32,
+    /// Attempts that nodes have begun to work on, and those that are out.
+    ran: u32,
+    out: u32,
+    /// When something last happened to it: taken, or an attempt ended.
+    last: u64,
+}
+
+/// The auditor.
+#[derive(Default)]
+pub struct Auditor {
+    requests: FxHashMap<u64, Request>,
+    /// When an instance was told that a node, with this start, leaves.
+    told: FxHashMap<(u32, usize, u32), u64>,
+    faults: Vec<Fault>,
+    counts: BTreeMap<&'static str, u64>,
+}
+
+impl Auditor {
+    fn fault(&mut self, rule: &'static str, at_us: u64, what: String) {
+        *self.counts.entry(rule).or_default() += 1;
+        // Enough to find the cause by.
+        if self.faults.len() < 20 {
+            self.faults.push(Fault { rule, at_us, what });
+        }
+    }
+
+    /// A caller's request was taken.
+    pub fn taken(&mut self, id: u64, now: u64, effect: Effect, aim: u64, gives_up: u64) {
+        let request = Request { effect, aim, gives_up, answers: 0, ran: 0, out: 0, last: now };
+        self.requests.insert(id, request);
+    }
+
+    /// A caller got an answer.
+    pub fn answered(&mut self, id: u64, now: u64, kind: Kind) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return self.fault("one answer", now, format!("request {id}: an answer that nobody asked for"));
+        };
+        request.answers += 1;
+        let Request { effect, aim, gives_up, answers, ran, last, .. } = *request;
+        if answers > 1 {
+            self.fault("one answer", now, format!("request {id}: answer {answers}"));
+        }
+        if now > gives_up + SLACK {
+            self.fault("one answer", now, format!("request {id}: {} us after its time", now - gives_up));
+        }
+        match kind {
+            Kind::Served(body) if body != id => {
+                self.fault("one answer", now, format!("request {id}: the answer of request {body}"));
+            }
+            Kind::Refused if ran > 0 && effect == Effect::Unsafe => {
+                self.fault("no effect twice", now, format!("request {id}: refused, and it may have run"));
+            }
+            Kind::Refused if now - last > (aim as f64 * HELD.0) as u64 + HELD.1 => {
+                let held = (now - last) / 1000;
+                self.fault(
+                    "not held back",
+                    now,
+                    format!("request {id}: refused {held} ms after its last attempt"),
+                );
+            }
+            Kind::Served(_) | Kind::Refused | Kind::Failed => {}
+        }
+    }
+
+    /// A caller's time is over.
+    pub fn gave_up(&mut self, id: u64, now: u64) {
+        if self.requests.get(&id).is_some_and(|request| request.answers == 0) {
+            self.fault("one answer", now, format!("request {id}: none in time"));
+        }
+    }
+
+    /// The list told an instance of a node.
+    pub fn told(&mut self, instance: u32, node: usize, start: u32, leaves: bool, now: u64) {
+        if leaves {
+            self.told.entry((instance, node, start)).or_insert(now);
+        } else {
+            self.told.remove(&(instance, node, start));
+        }
+    }
+
+    /// An instance sent an attempt.
+    pub fn sent(&mut self, job: Job, node: usize, start: u32, now: u64) {
+        let told = self.told.get(&(job.instance, node, start)).copied();
+        if let Some(told) = told.filter(|told| now > told + GRACE.0 + SLACK) {
+            let late = (now - told) / 1000;
+            self.fault(
+                "drains",
+                now,
+                format!("request {}: to node {node}, {late} ms after it was told", job.request),
+            );
+        }
+        let Some(request) = self.requests.get_mut(&job.request) else { return };
+        request.out += 1;
+        let (out, answers) = (request.out, request.answers);
+        if out > 1 {
+            self.fault("one attempt", now, format!("request {}: {out} attempts out", job.request));
+        }
+        if answers > 0 {
+            self.fault("one answer", now, format!("request {}: sent after its answer", job.request));
+        }
+    }
+
+    /// A node began to work on an attempt.
+    pub fn began(&mut self, job: Job, now: u64) {
+        let Some(request) = self.requests.get_mut(&job.request) else { return };
+        request.ran += 1;
+        if request.ran > 1 && request.effect == Effect::Unsafe {
+            let ran = request.ran;
+            self.fault("no effect twice", now, format!("request {}: run {ran} times", job.request));
+        }
+    }
+
+    /// An attempt ended, as its instance sees it.
+    pub fn ended(&mut self, job: Job, now: u64) {
+        if let Some(request) = self.requests.get_mut(&job.request) {
+            request.out = request.out.saturating_sub(1);
+            request.last = now;
+        }
+    }
+
+    /// A cold node was pushed over.
+    pub fn fell(&mut self, node: usize, now: u64) {
+        self.fault("cold nodes", now, format!("node {node} was pushed over"));
+    }
+
+    /// What was found: how often each rule was broken, and the first cases.
+    #[must_use]
+    pub fn found(self) -> (BTreeMap<&'static str, u64>, Vec<Fault>) {
+        (self.counts, self.faults)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/mutant.rs
@@ -0,0 +1,118 @@
+//! Engines with one planted fault each: the auditor must catch them all, or it proves nothing.
+
+use crate::balancing::{Balancing, In, Out};
+use dunlincleat::api::{Attempt, ServerId, Span, State, Time};
+use dunlincleat_engine::{Answer, Input, Output};
+
+/// What is wrong with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// Every attempt of a hundredth request goes out twice.
+    SendsTwice,
+    /// A hundredth request is answered twice.
+    AnswersTwice,
+    /// It never hears that a server drains.
+    IgnoresDrains,
+    /// It sends all to the server that started last.
+    FloodsCold,
+    /// It sits on refusals.
+    DelaysRefusals,
+    /// It never answers a hundredth request.
+    LosesRequests,
+}
+
+impl Plant {
+    /// All of them.
+    pub const ALL: [Plant; 6] = [
+        Plant::SendsTwice,
+        Plant::AnswersTwice,
+        Plant::IgnoresDrains,
+        Plant::FloodsCold,
+        Plant::DelaysRefusals,
+        Plant::LosesRequests,
+    ];
+}
+
+/// How long a mutant sits on a refusal.
+const SITS: Span = Span(250_000);
+
+/// An engine with a planted fault.
+pub struct Mutant<B> {
+    inner: B,
+    plant: Plant,
+    held: Vec<(Time, Out)>,
+    /// The server that started last, where one did.
+    newest: Option<ServerId>,
+}
+
+impl<B: Balancing> Mutant<B> {
+    /// Plants a fault.
+    pub fn new(inner: B, plant: Plant) -> Mutant<B> {
+        Mutant { inner, plant, held: Vec::new(), newest: None }
+    }
+
+    fn spoil(&mut self, now: Time, from: usize, out: &mut Vec<Out>) {
+        let mut spoilt = Vec::new();
+        for mut output in out.drain(from..) {
+            match (self.plant, &mut output) {
+                (
+                    Plant::FloodsCold,
+                    Output::Listed { server, at: Some((_, boot_ms)), state: State::Ready },
+                ) if *boot_ms > 0 => {
+                    self.newest = Some(*server);
+                }
+                (Plant::FloodsCold, Output::Attempt { server, .. }) => {
+                    *server = self.newest.unwrap_or(*server);
+                }
+                (Plant::SendsTwice, Output::Attempt { id, attempt, server, payload, until, connect })
+                    if id.0 % 100 == 0 =>
+                {
+                    let (id, attempt, server) = (*id, Attempt(attempt.0 + 50), *server);
+                    let (payload, until, connect) = (*payload, *until, *connect);
+                    spoilt.push(Output::Attempt { id, attempt, server, payload, until, connect });
+                }
+                (Plant::AnswersTwice, Output::Answer { id, answer }) if id.0 % 100 == 0 => {
+                    spoilt.push(Output::Answer { id: *id, answer: answer.clone() });
+                }
+                (Plant::LosesRequests, Output::Answer { id, .. }) if id.0 % 100 == 0 => continue,
+                (Plant::DelaysRefusals, Output::Answer { answer: Answer::Refused { .. }, .. }) => {
+                    self.held.push((now + SITS, output));
+                    continue;
+                }
+                _ => {}
+            }
+            spoilt.push(output);
+        }
+        out.append(&mut spoilt);
+    }
+}
+
+impl<B: Balancing> Balancing for Mutant<B> {
+    fn input(&mut self, now: Time, input: In, out: &mut Vec<Out>) {
+        let input = match (self.plant, input) {
+            (Plant::IgnoresDrains, Input::Listed(mut delivery)) => {
+                for entry in delivery.entries.iter_mut().filter(|e| e.endpoint.is_some()) {
+                    entry.state = State::Ready;
+                }
+                Input::Listed(delivery)
+            }
+            (_, input) => input,
+        };
+        let from = out.len();
+        self.inner.input(now, input, out);
+        self.spoil(now, from, out);
+    }
+
+    fn wake(&mut self, now: Time, out: &mut Vec<Out>) {
+        let from = out.len();
+        self.inner.wake(now, out);
+        self.spoil(now, from, out);
+        let (due, held) = std::mem::take(&mut self.held).into_iter().partition(|(at, _)| *at <= now);
+        self.held = held;
+        out.extend(Vec::into_iter(due).map(|(_, output)| output));
+    }
+
+    fn due(&self) -> Option<Time> {
+        self.held.iter().map(|(at, _)| *at).chain(self.inner.due()).min()
+    }
+}
--- a/crates/limits/tests/files.rs
+++ b/crates/limits/tests/files.rs
@@ -194,6 +194,11 @@
     assert_eq!(find("/pay", 1, Some("lj")), ("default".into(), Some(1), None));
 }
 
+#[test]
+fn the_example_under_deploy_has_no_fault() {
+    assert_eq!(check_form(include_str!("../../../deploy/limits.example.toml")), []);
+}
+
 /// What an accepted rule must keep to for a class, worked out apart from the checker.
 fn unsafe_for(rule: &Rule, class: usize, site: &Site) -> Option<String> {
     let settings = &site.settings.classes[class];
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -11,6 +11,7 @@
 use dunlincleat::api::{
     Action, Attempt, Event, ListKind, Member, RequestId, ServerId, Span, State, Time, Token,
 };
+use dunlincleat_engine::Places;
 use rustc_hash::FxHashMap;
 use std::io::{BufRead, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -25,27 +26,16 @@
     member: Member,
 }
 
-/// One instance: its decisions and its own numbering of endpoints.
+/// One instance: its decisions and its own numbering of endpoints, which the wire may name for ever.
 struct Instance {
     balancer: Balancer,
-    numbers: FxHashMap<Box<str>, ServerId>,
-    names: Vec<Box<str>>,
+    places: Places,
     classes: u32,
 }
 
 impl Instance {
-    fn number(&mut self, endpoint: &str) -> ServerId {
-        if let Some(id) = self.numbers.get(endpoint) {
-            return *id;
-        }
-        let id = ServerId(self.names.len() as u32);
-        self.names.push(endpoint.into());
-        self.numbers.insert(endpoint.into(), id);
-        id
-    }
-
     fn known(&self, endpoint: &str) -> Result<ServerId> {
-        let id = self.numbers.get(endpoint).copied();
+        let id = self.places.known(endpoint);
         id.with_context(|| format!("endpoint '{}' is on no list of this instance", shortened(endpoint)))
     }
 }
@@ -135,8 +125,7 @@
                 let settings = dunlincleat_settings::read(parts.remainder("env")?)?.settings;
                 let classes = settings.classes.len() as u32;
                 let balancer = Balancer::new(settings, seed);
-                let instance =
-                    Instance { balancer, numbers: FxHashMap::default(), names: Vec::new(), classes };
+                let instance = Instance { balancer, places: Places::default(), classes };
                 self.instances.insert(i, instance);
             }
             "SHUTDOWN" => {
@@ -180,7 +169,7 @@
                 if kind != ListKind::Failed {
                     let entries = list.and_then(|l| self.lists.get(l)).context("no such list")?;
                     for entry in entries {
-                        let server = instance.number(&entry.endpoint);
+                        let server = instance.places.number(&entry.endpoint);
                         self.members.push(Member { server, ..entry.member });
                     }
                 }
@@ -274,7 +263,8 @@
 
 fn write_action(out: &mut Vec<u8>, i: u64, instance: &Instance, action: &Action) -> Result<()> {
     let name = |server: &ServerId| -> Result<&str> {
-        instance.names.get(server.0 as usize).map(|n| &**n).context("the module named an unknown server")
+        let place = instance.places.get(*server).context("the module named an unknown server")?;
+        Ok(&place.uid)
     };
     match action {
         Action::Send { id, server, until } => {
