Prove a file of a thousand routes in 15 ms instead of 333

Need: a reload proves the file on the thread that serves; with 1,000 routes it stood still for a third of a second. Cause: path patterns were parsed anew for each pair of routes, and a place's line was counted from the start of the text. Change: patterns and line ends are read once, the cheap comparisons come first. Measured: check/1000 333 ms to 15.1 ms, check/50 1.32 to 0.32 ms; the 86 bad files are refused as before.

--- a/crates/limits/src/check.rs
+++ b/crates/limits/src/check.rs
@@ -97,13 +97,21 @@
 }
 
 fn names(file: &File, faults: &mut Faults<'_>) {
+    // Read once: a thousand routes are held against each other.
+    let pattern =
+        |route: &Route| route.matches.path.as_ref().and_then(|path| PathPattern::parse(&path.value));
+    let patterns: Vec<Option<PathPattern>> = file.routes.iter().map(pattern).collect();
     for (n, route) in file.routes.iter().enumerate() {
         let (name, earlier) = (&route.name.value, &file.routes[..n]);
         if !name.is_empty() && earlier.iter().any(|other| other.name.value == *name) {
             let reason = format!("a route '{name}' stands above");
             faults.error(Code::SameName, &route.name, reason, "a name of its own");
         }
-        if let Some(by) = earlier.iter().find(|other| covers(&other.matches, &route.matches)) {
+        let mine = (&route.matches, patterns[n].as_ref());
+        let covering = |(other, pattern): &(&Route, &Option<PathPattern>)| {
+            covers((&other.matches, pattern.as_ref()), mine)
+        };
+        if let Some((by, _)) = earlier.iter().zip(&patterns).find(covering) {
             let reason = format!("route '{}' above matches all that '{name}' does", by.name.value);
             faults.error(Code::Shadowed, &route.name, reason, "put it above that route, or take it out");
         }
@@ -175,34 +183,33 @@
 }
 
 /// Whether a route matches all that another does.
-fn covers(wide: &Match, narrow: &Match) -> bool {
+fn covers(
+    (wide, wide_path): (&Match, Option<&PathPattern>),
+    (narrow, narrow_path): (&Match, Option<&PathPattern>),
+) -> bool {
     let same = |wide: &Option<At<String>>, narrow: &Option<At<String>>| match (wide, narrow) {
         (None, _) => true,
         (Some(wide), Some(narrow)) => wide.value == narrow.value,
         (Some(_), None) => false,
     };
-    let path = match (&wide.path, &narrow.path) {
-        (None, _) => true,
-        (Some(wide), Some(narrow)) => {
-            let patterns = (PathPattern::parse(&wide.value), PathPattern::parse(&narrow.value));
-            matches!(patterns, (Some(wide), Some(narrow)) if wide.covers(&narrow))
-        }
+    let path = || match (&wide.path, wide_path, narrow_path) {
+        (None, ..) => true,
+        (Some(_), Some(wide), Some(narrow)) => wide.covers(narrow),
         // All paths of a class lie under it.
-        (Some(wide), None) => match (PathPattern::parse(&wide.value), &narrow.class) {
-            (Some(wide), Some(class)) => {
-                PathPattern::parse(&format!("/{}/**", class.value)).is_some_and(|narrow| wide.covers(&narrow))
-            }
-            (Some(_) | None, _) => wide.value == "/**",
+        (Some(_), Some(wide), None) if narrow.path.is_none() => match &narrow.class {
+            Some(class) => PathPattern::under(&class.value).is_some_and(|narrow| wide.covers(&narrow)),
+            None => *wide == PathPattern::any(),
         },
+        (Some(_), ..) => false,
+    };
+    let header = |(name, value): (&String, &At<String>)| {
+        narrow.headers.get(name).is_some_and(|n| n.value == value.value)
     };
-    let headers = wide
-        .headers
-        .iter()
-        .all(|(name, value)| narrow.headers.get(name).is_some_and(|narrow| narrow.value == value.value));
-    path && headers
-        && same(&wide.method, &narrow.method)
+    same(&wide.method, &narrow.method)
         && same(&wide.class, &narrow.class)
         && same(&wide.tenant, &narrow.tenant)
+        && path()
+        && wide.headers.iter().all(header)
 }
 
 /// Proves what a route sets, with what it inherits, against each class that it may match.
--- a/crates/limits/src/routes.rs
+++ b/crates/limits/src/routes.rs
@@ -31,6 +31,18 @@
         Some(PathPattern { parts, open })
     }
 
+    /// All paths.
+    #[must_use]
+    pub fn any() -> PathPattern {
+        PathPattern { parts: Vec::new(), open: true }
+    }
+
+    /// All paths whose first part is this one.
+    #[must_use]
+    pub fn under(first: &str) -> Option<PathPattern> {
+        PathPattern::parse(&format!("/{first}/**"))
+    }
+
     /// Its first part, where it is fixed.
     #[must_use]
     pub fn first(&self) -> Option<&str> {
@@ -257,7 +269,8 @@
 
     /// The rules of a file that was proved.
     pub(crate) fn new(text: &str, file: &File, site: &Site) -> RuleSet {
-        let line = |offset: usize| text.get(..offset).unwrap_or(text).matches('\n').count() + 1;
+        let ends: Vec<usize> = text.match_indices('\n').map(|(at, _)| at).collect();
+        let line = |offset: usize| ends.partition_point(|end| *end < offset) + 1;
         let rule = |name: String, begins: Option<usize>, knobs: &Knobs| {
             let set = Knobs::inherit(knobs, &file.defaults);
             let named = |name: &String| file.pools.iter().find(|pool| pool.name.value == *name);
