--- /dev/null
+++ b/crates/limits/tests/gate.rs
@@ -0,0 +1,65 @@
+//! Budgets and caps on a stepped clock, and the choice among pools.
+
+use dunlincleat::api::Time;
+use dunlincleat_limits::file::Budget;
+use dunlincleat_limits::routes::PoolChoice;
+use dunlincleat_limits::{Gate, Rule};
+
+fn rule(name: &str, part: f64, least_per_s: f64) -> Rule {
+    Rule { name: name.into(), retry_budget: Some(Budget { part, least_per_s }), ..Rule::open() }
+}
+
+/// Repeats that are paid for, of as many as are asked for, after so many first tries at once.
+fn repeats(gate: &mut Gate, now: u64, rule: &Rule, tries: u32, asked: u32) -> u32 {
+    let mut paid = 0;
+    for n in 0..tries.max(asked) {
+        let mut stand = if n < tries { gate.admit(Time(now), rule).unwrap() } else { Default::default() };
+        if n < asked && gate.repeat(Time(now), rule, &mut stand, 1) {
+            paid += 1;
+            gate.goes_out(rule, &mut stand);
+        }
+        if n < tries {
+            gate.over(rule, stand);
+        }
+    }
+    paid
+}
+
+#[test]
+fn a_budget_spent_by_one_route_starves_no_other() {
+    let mut gate = Gate::new(1000);
+    let (greedy, other) = (rule("greedy", 0.1, 0.0), rule("other", 0.1, 0.0));
+    let spent = repeats(&mut gate, 1_000_000, &greedy, 200, 200);
+    assert!((15..=21).contains(&spent), "{spent} repeats for 200 first tries at a tenth");
+    assert_eq!(repeats(&mut gate, 1_000_000, &greedy, 1, 50), 0);
+    let others = repeats(&mut gate, 1_000_000, &other, 200, 200);
+    assert_eq!(others, spent);
+    assert_eq!(gate.in_hand(), 0);
+}
+
+#[test]
+fn a_clock_that_jumps_brings_no_more_than_the_least_rate_of_ten_seconds() {
+    let mut gate = Gate::new(1000);
+    let quiet = rule("quiet", 0.0, 2.0);
+    repeats(&mut gate, 1_000_000, &quiet, 1, 50);
+    let after_a_day = repeats(&mut gate, 86_400_000_000, &quiet, 1, 500);
+    assert_eq!(after_a_day, 20);
+    // A clock that goes back brings nothing.
+    assert_eq!(repeats(&mut gate, 1_000_000, &quiet, 1, 50), 0);
+}
+
+#[test]
+fn a_pool_that_empties_in_a_deploy_falls_back_and_is_used_again() {
+    let choice = |name: &str, least_healthy| PoolChoice { name: name.into(), least_healthy };
+    let rule = Rule { pools: vec![choice("near", 0.5), choice("far", 0.0)], ..Rule::open() };
+    let with = |near: (usize, usize), far: (usize, usize)| {
+        rule.pool(|name| if name == "near" { near } else { far }).unwrap_or_default().to_owned()
+    };
+    assert_eq!(with((4, 4), (4, 4)), "near");
+    assert_eq!(with((4, 1), (4, 4)), "far");
+    assert_eq!(with((0, 0), (4, 1)), "far");
+    assert_eq!(with((4, 2), (4, 4)), "near");
+    // Neither has enough: the healthier of the two, and with none at all the first.
+    assert_eq!(with((4, 1), (4, 0)), "near");
+    assert_eq!(with((0, 0), (0, 0)), "near");
+}
