--- /dev/null
+++ b/crates/console/src/lib.rs
@@ -0,0 +1,189 @@
+//! The operators' console: a listener on a thread of its own, so that nothing that the serving thread does delays an
+//! answer. It reads the figures and the stage, and gives orders by the lifecycle's handle; it knows no HTTP.
+
+#![forbid(unsafe_code)]
+
+mod line;
+
+use anyhow::{Context, Result};
+use dunlincleat_status::lifecycle::Event;
+use dunlincleat_status::{Lifecycle, Metrics};
+use line::{Call, Heard, hear};
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+/// Connections at a time; at the bound the oldest that has sent no whole call goes.
+pub const CONNECTIONS: usize = 16;
+/// How long a call may take to come: shorter than callers stay that send nothing.
+const CALL: Duration = Duration::from_secs(3);
+/// How long an answer may take to be read, and what is sent behind a call to be passed over.
+const ANSWER: Duration = Duration::from_secs(1);
+const BEHIND: Duration = Duration::from_millis(200);
+/// The least time between two lines of the log on wrong calls.
+const SELDOM: Duration = Duration::from_secs(1);
+
+/// Opens the console's listener.
+///
+/// # Errors
+///
+/// The address can't be listened on.
+pub fn bind(at: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(at).with_context(|| format!("'{at}' can't be listened on"))?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Serves calls on a thread of its own, until the process ends.
+///
+/// # Errors
+///
+/// The thread can't be started.
+pub fn start(listener: TcpListener, lifecycle: Arc<Lifecycle>, metrics: Arc<Metrics>) -> Result<()> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().context("the console")?;
+    let serve = move || {
+        if let Err(error) = runtime.block_on(serve(listener, Arc::new(Console { lifecycle, metrics }))) {
+            tracing::error!("the console ended: {error:#}");
+        }
+    };
+    std::thread::Builder::new().name("console".to_owned()).spawn(serve).context("the console's thread")?;
+    Ok(())
+}
+
+struct Console {
+    lifecycle: Arc<Lifecycle>,
+    metrics: Arc<Metrics>,
+}
+
+/// A connection: whether its call has come, and what ends it.
+struct Caller {
+    called: Arc<AtomicBool>,
+    task: AbortHandle,
+}
+
+async fn serve(listener: TcpListener, console: Arc<Console>) -> Result<()> {
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let wrong = Arc::new(Seldom::default());
+    let mut callers: VecDeque<Caller> = VecDeque::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::error!("console: no connection accepted: {error}");
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        callers.retain(|caller| !caller.task.is_finished());
+        if callers.len() >= CONNECTIONS {
+            let silent = callers.iter().position(|caller| !caller.called.load(Ordering::Relaxed));
+            if let Some(caller) = callers.remove(silent.unwrap_or(0)) {
+                caller.task.abort();
+            }
+        }
+        let called = Arc::new(AtomicBool::new(false));
+        let (console, wrong, heard) = (console.clone(), wrong.clone(), called.clone());
+        let task = tokio::spawn(async move {
+            if let Err(error) = call(stream, &console, &wrong, &heard).await {
+                tracing::debug!("console: {error}");
+            }
+        });
+        callers.push_back(Caller { called, task: task.abort_handle() });
+    }
+}
+
+/// One call and its answer.
+async fn call(
+    mut stream: TcpStream,
+    console: &Console,
+    wrong: &Seldom,
+    called: &AtomicBool,
+) -> std::io::Result<()> {
+    let heard =
+        timeout(CALL, read(&mut stream)).await.unwrap_or(Ok(Heard::Wrong("the call did not end in time")))?;
+    called.store(true, Ordering::Relaxed);
+    let answer = match heard {
+        Heard::Call(call) => console.answer(call),
+        Heard::Partial => return Ok(()),
+        Heard::Wrong(why) => {
+            if wrong.due() {
+                tracing::info!("console: {why}");
+            }
+            format!("NO {why}\n")
+        }
+    };
+    let _ = timeout(ANSWER, async {
+        stream.write_all(answer.as_bytes()).await?;
+        stream.shutdown().await
+    })
+    .await;
+    // What was sent behind the call and not read would have the system take the answer back.
+    let _ = timeout(BEHIND, async {
+        while stream.read(&mut [0; 512]).await? > 0 {}
+        std::io::Result::Ok(())
+    })
+    .await;
+    Ok(())
+}
+
+/// Reads until a call is whole or wrong; partial where the caller left before that.
+async fn read(stream: &mut TcpStream) -> std::io::Result<Heard> {
+    let (mut bytes, mut len) = ([0; line::MOST], 0);
+    loop {
+        let come = stream.read(&mut bytes[len..]).await?;
+        len += come;
+        let heard = hear(&bytes[..len]);
+        if come == 0 && heard == Heard::Partial && len > 0 {
+            return Ok(Heard::Wrong("the call has no line end"));
+        }
+        if come == 0 || heard != Heard::Partial {
+            return Ok(heard);
+        }
+    }
+}
+
+impl Console {
+    fn answer(&self, call: Call) -> String {
+        let order = |event: Event| {
+            tracing::info!("console: told {}", if event == Event::Active { "active" } else { "standby" });
+            self.lifecycle.tell(event)
+        };
+        match call {
+            Call::Status => {
+                let stage = self.lifecycle.stage();
+                format!("{} {stage}\n", if stage.ready() { "YES" } else { "NO" })
+            }
+            Call::Stats => self.metrics.render() + "END\n",
+            Call::Standby => {
+                let stage = order(Event::Standby);
+                format!("YES {stage}\n")
+            }
+            Call::Active => {
+                let stage = order(Event::Active);
+                format!("{} {stage}\n", if stage.ends() { "NO" } else { "YES" })
+            }
+        }
+    }
+}
+
+/// A line of the log that each call could bring.
+#[derive(Default)]
+struct Seldom(std::sync::Mutex<Option<Instant>>);
+
+impl Seldom {
+    fn due(&self) -> bool {
+        let Ok(mut last) = self.0.lock() else { return false };
+        let due = last.is_none_or(|last| last.elapsed() >= SELDOM);
+        if due {
+            *last = Some(Instant::now());
+        }
+        due
+    }
+}
--- /dev/null
+++ b/crates/console/src/line.rs
@@ -0,0 +1,81 @@
+//! The grammar of the console: one line a call. Pure.
+
+/// The longest call, its line end included, in bytes.
+pub const MOST: usize = 256;
+
+/// What operators call for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process is ready to serve.
+    Status,
+    /// The figures.
+    Stats,
+    /// Send clients away.
+    Standby,
+    /// Back to work.
+    Active,
+}
+
+/// What has come of a call so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Its line has not ended.
+    Partial,
+    /// A call.
+    Call(Call),
+    /// None; why.
+    Wrong(&'static str),
+}
+
+/// Reads what has come. CR LF and LF end a line; what comes behind it is passed over.
+#[must_use]
+pub fn hear(bytes: &[u8]) -> Heard {
+    let Some(end) = bytes.iter().take(MOST).position(|b| *b == b'\n') else {
+        return if bytes.len() < MOST { Heard::Partial } else { Heard::Wrong("the call is too long") };
+    };
+    let line = bytes[..end].strip_suffix(b"\r").unwrap_or(&bytes[..end]);
+    match line.trim_ascii() {
+        b"status" => Heard::Call(Call::Status),
+        b"stats" => Heard::Call(Call::Stats),
+        b"standby" => Heard::Call(Call::Standby),
+        b"active" => Heard::Call(Call::Active),
+        b"" => Heard::Wrong("the call is empty; there are status, stats, standby, active"),
+        _ => Heard::Wrong("no such call; there are status, stats, standby, active"),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn calls_are_read_by_either_line_end() {
+        for (bytes, call) in [
+            (&b"status\n"[..], Call::Status),
+            (b"stats\r\n", Call::Stats),
+            (b" standby \n", Call::Standby),
+            (b"active\nstatus\n", Call::Active),
+        ] {
+            assert_eq!(hear(bytes), Heard::Call(call));
+            assert_eq!(hear(&bytes[..4]), Heard::Partial);
+        }
+        for wrong in [&b"\n"[..], b"STATUS\n", b"status now\n", b"\0\xff\n", &[b'x'; MOST]] {
+            assert!(matches!(hear(wrong), Heard::Wrong(_)), "{wrong:?}");
+        }
+    }
+
+    proptest! {
+        /// Whatever comes, more of it changes nothing once the line has ended, and a line is never waited for in vain.
+        #[test]
+        fn a_call_is_decided_at_its_line_end(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+            let heard = hear(&bytes);
+            if bytes.len() >= MOST || bytes.contains(&b'\n') {
+                prop_assert_ne!(heard, Heard::Partial);
+                let mut more = bytes.clone();
+                more.extend_from_slice(b"active\n");
+                prop_assert_eq!(hear(&more), heard);
+            }
+        }
+    }
+}
--- a/crates/engine/src/core.rs
+++ b/crates/engine/src/core.rs
@@ -299,6 +299,18 @@
         &self.places
     }
 
+    /// The servers in the list.
+    #[must_use]
+    pub fn listed_now(&self) -> usize {
+        self.places.taken().filter(|(_, place)| place.gone.is_none()).count()
+    }
+
+    /// Listed servers that get nothing new now, by the module over all servers.
+    #[must_use]
+    pub fn avoided(&self, now: Time) -> usize {
+        self.pools.avoided(now)
+    }
+
     /// What happened since this was last called.
     pub fn take_tally(&mut self) -> Tally {
         std::mem::take(&mut self.tally)
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -69,6 +69,12 @@
         self.slots.keys().copied().collect()
     }
 
+    /// Listed servers that the module over all servers sends nothing to now.
+    #[must_use]
+    pub fn avoided(&self, now: Time) -> usize {
+        self.slots.get(&SlotId::ALL).map_or(0, |slot| slot.balancer.avoided(now))
+    }
+
     /// Hands an event to a pool's decision module. One of a pool that is no more has nobody to hear it.
     pub fn on_event(&mut self, now: Time, slot: SlotId, event: Event<'_>, actions: &mut Vec<Action>) {
         if let Some(slot) = self.slots.get_mut(&slot) {
--- a/crates/engine/src/shell.rs
+++ b/crates/engine/src/shell.rs
@@ -8,6 +8,7 @@
 use dunlincleat::api::{Attempt, RequestId, ServerId, State, Time};
 use dunlincleat_directory::{Cause, Delivery, Health};
 use dunlincleat_limits::RuleSet;
+use dunlincleat_status::Metrics;
 use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -137,6 +138,17 @@
     }
 }
 
+/// Where the actor shows its figures.
+pub struct Gauges {
+    /// The figures.
+    pub metrics: Arc<Metrics>,
+    /// Somebody may ask whom the module avoids: it is looked at now and then.
+    pub avoided: bool,
+}
+
+/// How often it is looked at whom the module avoids.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// The actor.
 pub struct Actor<T: Transports, D> {
     engine: Engine<T::Payload, T::Body>,
@@ -150,14 +162,21 @@
     /// The list's state, and as it was when the log last summed up.
     health: Health,
     summed: Health,
+    gauges: Gauges,
 }
 
 impl<T: Transports, D: Directory> Actor<T, D> {
     /// The actor around an engine.
-    pub fn new(engine: Engine<T::Payload, T::Body>, clock: Clock, transports: T, directory: D) -> Self {
+    pub fn new(
+        engine: Engine<T::Payload, T::Body>,
+        clock: Clock,
+        transports: T,
+        directory: D,
+        gauges: Gauges,
+    ) -> Self {
         let (slots, out) = (FxHashMap::default(), Vec::new());
         let (waited, health, summed) = (Duration::ZERO, Health::default(), Health::default());
-        Actor { engine, clock, transports, directory, slots, out, waited, health, summed }
+        Actor { engine, clock, transports, directory, slots, out, waited, health, summed, gauges }
     }
 
     /// Runs the actor from the list as last held, until all handles are gone.
@@ -165,6 +184,7 @@
         // With this the module makes its first call of discovery, so the way there must stand.
         self.input(Input::Listed(known));
         let mut sum_up = Instant::now() + SUM_UP;
+        let mut look = Instant::now();
         loop {
             let due = self.engine.due().map(|at| self.clock.instant(at));
             tokio::select! {
@@ -180,6 +200,10 @@
                     }
                     None => return,
                 },
+                () = sleep_until(look), if self.gauges.avoided => {
+                    self.gauges.metrics.skipped.set(self.engine.avoided(self.clock.now()));
+                    look = Instant::now() + LOOK;
+                }
                 () = sleep_until(sum_up) => {
                     self.sum_up();
                     sum_up = Instant::now() + SUM_UP;
@@ -238,7 +262,11 @@
             | Input::ListFailed
             | Input::Rules(_) => {}
         }
+        let listed = matches!(input, Input::Listed(_));
         self.engine.input(self.clock.now(), input, &mut self.out);
+        if listed {
+            self.gauges.metrics.known.set(self.engine.listed_now());
+        }
         self.carry_out();
     }
 
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -1,7 +1,7 @@
 //! The server that the application speaks to: it accepts connections, takes requests, and gives each exactly
 //! one answer.
 
-use crate::message::{HEALTH, Malformed, Request, encode, read_body};
+use crate::message::{HEALTH, Malformed, Request, class_of, encode, read_body};
 use crate::own::Own;
 use crate::seldom::{Seldom, seldom};
 use crate::{Answer, Handle};
@@ -15,6 +15,9 @@
 use dunlincleat::api::RequestId;
 use dunlincleat_limits::RuleSet;
 use dunlincleat_settings::Site;
+use dunlincleat_status::lifecycle;
+use dunlincleat_status::metrics::{Counter, Ends, InProgress};
+use dunlincleat_status::{Lifecycle, Metrics, Stage};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -43,23 +46,38 @@
 /// How long a client that was turned away may send on.
 const DRAIN: Duration = Duration::from_secs(1);
 
-/// How far the shutdown has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stage {
-    /// Serving.
-    Serving,
-    /// Serving still, but each answer ends its connection.
-    Leaving,
-    /// No new connections, and idle ones are closed.
-    Closing,
-}
+/// In standby, the age from which a connection that has sent nothing is closed: one that has just come is asked first.
+const SILENT: Duration = Duration::from_millis(500);
 
 /// The operator's limits, where there are any; replaced in one step by a reload.
 pub type Rules = watch::Receiver<Option<Arc<RuleSet>>>;
 
+/// Where clients connect.
+pub enum Listener {
+    /// An address of this process alone.
+    Own(SocketAddr),
+    /// A listening socket that other processes hold too.
+    Shared(std::net::TcpListener),
+}
+
+/// What the front is told.
+pub struct Told {
+    /// The settings.
+    pub site: Rc<Site>,
+    /// Its bounds and times.
+    pub own: Rc<Own>,
+    /// The operator's limits.
+    pub rules: Rules,
+    /// Where it counts.
+    pub metrics: Arc<Metrics>,
+}
+
 /// What the handlers of requests share.
 struct Front {
     site: Rc<Site>,
+    /// The counts of each class, by its number.
+    ends: Vec<Arc<Ends>>,
+    metrics: Arc<Metrics>,
     own: Rc<Own>,
     engine: Handle,
     clients: Rc<Clients>,
@@ -77,21 +95,25 @@
 }
 
 /// Accepts and serves until the stage is `Closing` and every connection has ended.
-pub async fn serve(
-    listen: SocketAddr,
-    site: Rc<Site>,
-    own: Rc<Own>,
-    engine: Handle,
-    mut stage: watch::Receiver<Stage>,
-    rules: Rules,
-) -> Result<()> {
+pub async fn serve(listener: Listener, told: Told, engine: Handle, lifecycle: Arc<Lifecycle>) -> Result<()> {
+    let Told { site, own, rules, metrics } = told;
+    let mut stage = lifecycle.follow();
     let most = own.client_connections + OVER;
-    let listener = bind(listen, most).with_context(|| format!("EDGE_LISTEN: {listen}"))?;
+    let (listener, shared) = match listener {
+        Listener::Own(listen) => {
+            (bind(listen, most).with_context(|| format!("EDGE_LISTEN: {listen}"))?, false)
+        }
+        Listener::Shared(listener) => (TcpListener::from_std(listener).context("EDGE_INHERITED_FD")?, true),
+    };
+    // What comes to a shared listener waits for the other process too: this one's part ends at once.
+    let over = move |stage: &Stage| *stage == Stage::Closing || shared && stage.ends();
     let connections = Arc::new(Semaphore::new(most));
     let requests = Arc::new(Semaphore::new(own.requests));
     let clients = Rc::new(Clients { own: own.clone(), seats: RefCell::default(), next: Cell::new(0) });
     let front = Rc::new(Front {
+        ends: site.classes.iter().map(|name| metrics.class(name)).collect(),
         site,
+        metrics,
         own,
         engine,
         clients: clients.clone(),
@@ -120,13 +142,14 @@
         .await
         .map_err(|()| anyhow!("the server could not be set up"))?;
     let service = Rc::new(service);
-    let sweeper = actix_rt::spawn(sweep(clients.clone(), connections.clone()));
-    tracing::info!("listening on {listen}");
+    let sweeper = actix_rt::spawn(sweep(clients.clone(), connections.clone(), lifecycle.clone()));
+    tracing::info!("listening on {}", listener.local_addr()?);
+    lifecycle.tell(lifecycle::Event::Ready);
     loop {
         let permit = tokio::select! {
             biased;
             permit = connections.clone().acquire_owned() => permit?,
-            _ = stage.wait_for(|s| *s == Stage::Closing) => break,
+            _ = stage.wait_for(over) => break,
         };
         let stream = tokio::select! {
             biased;
@@ -139,7 +162,7 @@
                 }
             },
             // What waits to be accepted has been accepted already by the machine: it is taken first.
-            _ = stage.wait_for(|s| *s == Stage::Closing) => break,
+            _ = stage.wait_for(over) => break,
         };
         actix_rt::spawn(connection(stream, clients.seat(permit), service.clone(), front.clone()));
     }
@@ -185,12 +208,12 @@
 }
 
 /// Closes connections whose time is over, and one more where all places are taken.
-async fn sweep(clients: Rc<Clients>, connections: Arc<Semaphore>) {
+async fn sweep(clients: Rc<Clients>, connections: Arc<Semaphore>, lifecycle: Arc<Lifecycle>) {
     loop {
         sleep(SWEEP).await;
-        let now = Instant::now();
+        let (now, stage) = (Instant::now(), lifecycle.stage());
         for state in clients.seats.borrow().values() {
-            if state.due(&clients.own).is_some_and(|due| due <= now) {
+            if state.due(&clients.own, stage).is_some_and(|due| due <= now) {
                 state.close();
             }
         }
@@ -217,14 +240,26 @@
     // A client that was turned away is told to close: what it sent ahead is not worth more work.
     let mut turned_away = false;
     let mut response = if request.method() == Method::GET && request.path() == HEALTH {
-        Response::with_body(StatusCode::OK, Bytes::from_static(b"ok\n"))
+        match front.stage.borrow().ready() {
+            true => Response::with_body(StatusCode::OK, Bytes::from_static(b"ok\n")),
+            false => Response::with_body(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"no\n")),
+        }
     } else if over {
         seldom!(front.full, warn, Crowd(&front.clients));
+        front.ended(request.path(), |ends| &ends.dropped);
         encode(Answer::Refused { retry_after: None })
     } else {
         match front.take(&mut request, state.as_deref(), received).await {
-            Ok(answer) => encode(answer),
+            Ok(answer) => {
+                front.ended(request.path(), |ends| match answer {
+                    Answer::Served(_) => &ends.passed,
+                    Answer::Refused { .. } => &ends.dropped,
+                    Answer::Failed => &ends.failed,
+                });
+                encode(answer)
+            }
             Err(malformed) => {
+                front.ended(request.path(), |ends| &ends.failed);
                 let line = format!("request not taken: {} ({})", malformed.what, malformed.status.as_u16());
                 seldom!(front.malformed, info, line);
                 turned_away = true;
@@ -234,7 +269,7 @@
     };
     // Where places run short, an answer ends its connection: hundreds of clients a second that ask once and keep
     // theirs once held all places for the 2 s for which an idle one must be kept.
-    let close = turned_away || over || front.clients.crowded() || *front.stage.borrow() > Stage::Serving;
+    let close = turned_away || over || front.clients.crowded() || front.stage.borrow().sends_away();
     if close {
         // It ends once the answer is written; nothing else may end it before.
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
@@ -246,6 +281,12 @@
 }
 
 impl Front {
+    /// Counts the final answer to a request of the class that its path names; one that names none counts nowhere.
+    fn ended(&self, path: &str, count: impl Fn(&Ends) -> &Counter) {
+        let class = class_of(path, &self.site);
+        class.and_then(|class| self.ends.get(class)).into_iter().for_each(|ends| count(ends).count());
+    }
+
     async fn take(
         &self,
         request: &mut actix_http::Request,
@@ -266,7 +307,15 @@
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (slot, answer) = oneshot::channel();
         let (engine, name) = (self.engine.clone(), decoded.id.clone());
-        let mut taken = Taken { id, name, front: self, engine, answered: false, _permit: permit };
+        let mut taken = Taken {
+            id,
+            name,
+            front: self,
+            engine,
+            answered: false,
+            _permit: permit,
+            _counted: self.metrics.taken(),
+        };
         state.into_iter().for_each(|state| state.enter(Phase::InHand));
         let ask = decoded.ask.clone();
         self.engine.request(id, ask, Rc::new(decoded.with_body(body)), received, slot);
@@ -287,6 +336,7 @@
     engine: Handle,
     answered: bool,
     _permit: OwnedSemaphorePermit,
+    _counted: InProgress,
 }
 
 impl Drop for Taken<'_> {
@@ -355,8 +405,11 @@
     }
 
     /// When the client has had its time.
-    fn due(&self, own: &Own) -> Option<Instant> {
+    fn due(&self, own: &Own, stage: Stage) -> Option<Instant> {
         let time = match self.phase.get() {
+            // Sent away, and nothing has told it so: no answer was due.
+            Phase::Idle if stage == Stage::Emptying => Duration::ZERO,
+            Phase::Silent if stage == Stage::Emptying => SILENT,
             Phase::Silent | Phase::Reading => own.client_request,
             Phase::InHand => return None,
             Phase::Idle => own.client_idle,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod own;
 pub mod peer;
 mod seldom;
+mod written;
 
 use std::rc::Rc;
 
--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -5,11 +5,13 @@
 use crate::message::authority;
 use crate::own::Own;
 use crate::seldom::{Seldom, seldom};
+use crate::written::Written;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::Service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
 use awc::http::Uri;
 use dunlincleat::api::Status;
+use dunlincleat_status::Metrics;
 use futures_util::future::LocalBoxFuture;
 use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
@@ -49,6 +51,8 @@
     stream: RefCell<Weak<TcpStream>>,
     /// Bytes of the present request that the kernel took.
     sent: Cell<usize>,
+    /// How far the present attempt is written; none for a probe.
+    written: Cell<Option<Written>>,
     /// The answer came to its end.
     whole: Cell<bool>,
     /// Why it is of no use.
@@ -60,9 +64,10 @@
 }
 
 impl Wire {
-    /// Begins a new request.
-    pub fn begin(&self) {
+    /// Begins a new attempt with a body of so many bytes, or a probe.
+    pub fn begin(&self, attempt: Option<usize>) {
         self.sent.set(0);
+        self.written.set(attempt.map(Written::new));
         self.withdrawn.set(false);
         self.whole.set(false);
         self.spoilt.set(None);
@@ -138,6 +143,8 @@
     pub sockets: Arc<Semaphore>,
     /// The line of the log for attempts that found no place among those.
     pub full: Rc<Seldom>,
+    /// Counts attempts that were written whole.
+    pub metrics: Arc<Metrics>,
 }
 
 /// A connection to the server, or one to be opened.
@@ -211,6 +218,7 @@
                 stall: dial.means.own.answer_stall,
                 gate: dial.gate,
                 wire: dial.wire,
+                metrics: dial.means.metrics.clone(),
                 _permit: permit,
             };
             Ok(Connection::new(uri, io))
@@ -228,6 +236,7 @@
     stall: Duration,
     gate: Rc<Gate>,
     wire: Rc<Wire>,
+    metrics: Arc<Metrics>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -310,6 +319,12 @@
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(n) => {
                     self.wire.sent.set(self.wire.sent.get() + n);
+                    if let Some(mut written) = self.wire.written.get() {
+                        if written.more(&buf[..n]) {
+                            self.metrics.tries.count();
+                        }
+                        self.wire.written.set(Some(written));
+                    }
                     return Poll::Ready(Ok(n));
                 }
             }
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -76,9 +76,8 @@
             return Err(Cut::TooLong.into());
         }
         let path = head.uri.path();
-        let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = site.classes.iter().position(|c| c == name && !name.is_empty());
-        let class = class.ok_or(Malformed { status: StatusCode::NOT_FOUND, what: "no such class" })?;
+        let class =
+            class_of(path, site).ok_or(Malformed { status: StatusCode::NOT_FOUND, what: "no such class" })?;
         let settings = &site.settings.classes[class];
         let key = head.headers.get(&KEY).cloned();
         let method = match settings.effect {
@@ -141,6 +140,11 @@
         self
     }
 
+    /// The length of its body, in bytes.
+    pub fn body_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     /// Encodes it for a server; `left` is how long the sidecar will wait.
     pub fn encode(&self, client: &awc::Client, server: SocketAddr, left: Duration) -> awc::SendClientRequest {
         let uri = format!("http://{server}{}", self.target);
@@ -164,6 +168,12 @@
     }
 }
 
+/// The number of the class that a path names by its first part.
+pub fn class_of(path: &str, site: &Site) -> Option<usize> {
+    let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+    site.classes.iter().position(|c| c == name && !name.is_empty())
+}
+
 /// Encodes the final answer to a client.
 pub fn encode(answer: Answer) -> Response<Bytes> {
     match answer {
--- a/crates/http/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -14,6 +14,7 @@
 use dunlincleat::api::{Attempt, RequestId, ServerId, Span, State, Status};
 use dunlincleat_engine::SlotId;
 use dunlincleat_engine::shell::Transports;
+use dunlincleat_status::Metrics;
 use futures_util::StreamExt;
 use futures_util::future::{AbortHandle, Abortable, Aborted, LocalBoxFuture};
 use futures_util::stream::FuturesUnordered;
@@ -81,9 +82,15 @@
 
 impl Peers {
     /// Transports that tell `engine` what became of each attempt and probe.
-    pub fn new(own: Rc<Own>, fields: Rc<[String]>, load_probes: bool, engine: Handle) -> Peers {
+    pub fn new(
+        own: Rc<Own>,
+        fields: Rc<[String]>,
+        load_probes: bool,
+        engine: Handle,
+        metrics: Arc<Metrics>,
+    ) -> Peers {
         let sockets = Arc::new(Semaphore::new(own.server_connections));
-        let means = Means { own, sockets, full: Rc::default() };
+        let means = Means { own, sockets, full: Rc::default(), metrics };
         let common = Common { means, fields, load_probes, spoilt: Rc::default(), engine };
         Peers { common, mailboxes: FxHashMap::default() }
     }
@@ -315,7 +322,7 @@
     (until, connect): (Instant, Option<Duration>),
     common: &Common,
 ) -> (Ended, Option<Line>) {
-    line.wire.begin();
+    line.wire.begin(Some(request.body_bytes()));
     let left = until.saturating_duration_since(Instant::now());
     let exchange = async {
         let response = request.encode(&line.client, endpoint, left).await.map_err(failure)?;
@@ -354,7 +361,7 @@
 }
 
 async fn probe(line: Line, endpoint: SocketAddr, common: &Common) -> (Ended, Option<Line>) {
-    line.wire.begin();
+    line.wire.begin(None);
     let exchange = async {
         let request = line.client.get(probe_uri(endpoint, common.load_probes));
         let response = request.send().await.map_err(failure)?;
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -19,6 +19,8 @@
 
 /// Descriptors kept for what is no traffic: standard streams, the poller, signals, listener, discovery, spares.
 const DESCRIPTORS_KEPT: usize = 40;
+/// The same for the console: its connections, its listener, its poller and a signal to it.
+const CONSOLE_KEPT: usize = dunlincleat_console::CONNECTIONS + 8;
 
 /// All that the sidecar is told.
 pub struct Config {
@@ -26,6 +28,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, where that is told.
+    pub console: Option<SocketAddr>,
     /// Where discovery answers.
     pub discovery: SocketAddr,
     /// For random numbers; new with each start.
@@ -60,7 +64,7 @@
 }
 
 /// The keys that a reload does not take up. `seed` and `known` matter at a start alone.
-const FIXED: [&str; 6] = ["name", "listen", "limits", "settings", "sidecar", "watch"];
+const FIXED: [&str; 7] = ["name", "listen", "console", "limits", "settings", "sidecar", "watch"];
 
 impl Config {
     /// Reads the environment and the file that it names.
@@ -97,6 +101,8 @@
         fixed.iter_mut().filter_map(|(_, value)| value.as_mut()?.as_object_mut()).for_each(|own| {
             own.remove("log");
         });
+        let told_console =
+            env("EDGE_CONSOLE")?.is_some() || file.get("console").is_some_and(|c| !c.is_null());
         let mut text_of = |variable, key: &str, by: First| -> Result<(String, String)> {
             let variables = env(variable)?.filter(|_| by == First::Variable || !file.contains_key(key));
             if let Some(value) = variables {
@@ -113,6 +119,13 @@
         };
         let name = text_of("EDGE_NAME", "name", First::Variable)?.0;
         let listen = address(text_of("EDGE_LISTEN", "listen", First::Variable)?)?;
+        let console = match told_console {
+            true => Some(address(text_of("EDGE_CONSOLE", "console", First::Variable)?)?),
+            false => None,
+        };
+        if let Some(console) = console.filter(|console| *console == listen) {
+            bail!("console: '{console}' is where clients connect; right would be an address of its own");
+        }
         let discovery = address(text_of("EDGE_DISCOVERY", "discovery", discovery_by)?)?;
         let seed = match file.remove("seed") {
             Some(Value::String(hex)) => u64::from_str_radix(&hex, 16)
@@ -164,11 +177,13 @@
             Some(Value::Object(own)) => own,
             Some(_) => bail!("EDGE_CONFIG: sidecar: not an object"),
         };
-        let Told { own, log, form, accept_after_term, end_after_term } = Told::read(&own, &limits, &site)?;
+        let Told { own, log, form, accept_after_term, end_after_term } =
+            Told::read(&own, &limits, &site, console.map_or(0, |_| CONSOLE_KEPT))?;
         let (own, site) = (Rc::new(own), Rc::new(site));
         Ok(Config {
             name,
             listen,
+            console,
             discovery,
             seed,
             known,
@@ -208,7 +223,8 @@
 }
 
 impl Told {
-    fn read(own: &Map<String, Value>, limits: &Limits, site: &Site) -> Result<Told> {
+    fn read(own: &Map<String, Value>, limits: &Limits, site: &Site, console: usize) -> Result<Told> {
+        let kept = DESCRIPTORS_KEPT + console;
         let number = |key: &str, default: u64, least: u64| -> Result<u64> {
             let value = match own.get(key) {
                 None => default,
@@ -232,16 +248,16 @@
             Some(other) => bail!("EDGE_CONFIG: sidecar.log_form: '{other}' is neither text nor json"),
         };
         // Half of the descriptors for each side.
-        let half = (limits.sockets.saturating_sub(DESCRIPTORS_KEPT) / 2) as u64;
+        let half = (limits.sockets.saturating_sub(kept) / 2) as u64;
         if half == 0 {
-            bail!("EDGE_CONFIG: limits.sockets: {} is under {}", limits.sockets, DESCRIPTORS_KEPT + 2);
+            bail!("EDGE_CONFIG: limits.sockets: {} is under {}", limits.sockets, kept + 2);
         }
         let client_connections = number("client_connections", half, 1)? as usize;
         let server_connections = number("server_connections", half, 1)? as usize;
-        if client_connections + server_connections + DESCRIPTORS_KEPT > limits.sockets {
+        if client_connections + server_connections + kept > limits.sockets {
             bail!(
                 "EDGE_CONFIG: sidecar.client_connections and sidecar.server_connections: {client_connections} and \
-                 {server_connections} leave no {DESCRIPTORS_KEPT} of {} descriptors",
+                 {server_connections} leave no {kept} of {} descriptors",
                 limits.sockets
             );
         }
@@ -328,6 +344,22 @@
     name.parse().ok().filter(|_| name.chars().all(|c| c.is_ascii_alphabetic()))
 }
 
+/// The descriptor of the listening socket that the platform holds, where it does.
+///
+/// # Errors
+///
+/// `EDGE_INHERITED_FD` is no number.
+pub fn inherited() -> Result<Option<std::os::fd::RawFd>> {
+    let Some(number) = env("EDGE_INHERITED_FD")? else { return Ok(None) };
+    let read = number.parse().ok().filter(|number| *number > 2);
+    let read = read.with_context(|| {
+        format!(
+            "EDGE_INHERITED_FD: '{number}' is no descriptor; right would be the number of a listening socket"
+        )
+    })?;
+    Ok(Some(read))
+}
+
 fn env(name: &'static str) -> Result<Option<String>> {
     match std::env::var(name) {
         Ok(value) if value.is_empty() => bail!("{name} is empty"),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -13,20 +13,28 @@
 use dunlincleat_directory::{Follower, Listing, Snapshot};
 use dunlincleat_engine::Watch;
 use dunlincleat_engine::clock::Clock;
-use dunlincleat_engine::shell::{Actor, mailbox};
+use dunlincleat_engine::shell::{Actor, Gauges, mailbox};
 use dunlincleat_http::Engine;
-use dunlincleat_http::front::{self, Stage};
+use dunlincleat_http::front;
 use dunlincleat_http::list::{self, List};
 use dunlincleat_http::own::Own;
 use dunlincleat_http::peer::Peers;
 use dunlincleat_limits::{RuleSet, Severity};
 use dunlincleat_settings::Site;
+use dunlincleat_status::lifecycle::{Event, Machine, Times};
+use dunlincleat_status::{Lifecycle, Metrics};
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
+
+/// From the order to stand by until idle connections are closed: the front asks ten times a second, and sends nothing
+/// new 0.2 s after it was told no.
+const NOTICE: Duration = Duration::from_millis(700);
 
 /// Serves until it is told to end. `limits` names the operator's file, before all else that names one.
 ///
@@ -34,10 +42,13 @@
 ///
 /// What it was told is at fault, its address is in use, or its decisions ended.
 pub fn serve(limits: Option<&Path>) -> Result<()> {
-    actix_rt::System::new().block_on(run(limits))
+    // Before any other descriptor is opened: its number is what it is told by.
+    let inherited = config::inherited()?.map(dunlincleat_handover::take);
+    let inherited = inherited.transpose().context("EDGE_INHERITED_FD")?;
+    actix_rt::System::new().block_on(run(limits, inherited))
 }
 
-async fn run(limits: Option<&Path>) -> Result<()> {
+async fn run(limits: Option<&Path>, inherited: Option<TcpListener>) -> Result<()> {
     // Caught before anything else: an order to read a new file, uncaught, would end the process.
     let mut reload = signal(SignalKind::hangup()).context("SIGHUP")?;
     let mut config = Config::read()?;
@@ -51,6 +62,23 @@
         tracing::warn!("messages between sidecars have no protocol yet: the module does without");
         Rc::make_mut(&mut site).settings.limits.peers = false;
     }
+    // All that can be at fault is tried before anything is served: a second process must not disturb the first.
+    let console = config.console.map(|at| dunlincleat_console::bind(at).context("console")).transpose()?;
+    let listener = match inherited {
+        Some(listener) => {
+            dunlincleat_handover::listens_at(&listener, config.listen).context("EDGE_INHERITED_FD")?;
+            tracing::info!("the listening socket is the platform's, held by every process of this sidecar");
+            front::Listener::Shared(listener)
+        }
+        None => front::Listener::Own(config.listen),
+    };
+    let metrics = Arc::new(Metrics::default());
+    let times = Times { notice: NOTICE, accept: config.accept_after_term };
+    let lifecycle = Arc::new(Lifecycle::new(Machine::new(std::time::Instant::now(), times)));
+    if let Some(console) = console {
+        dunlincleat_console::start(console, lifecycle.clone(), metrics.clone())?;
+        tracing::info!("console at {}", config.console.map_or_else(String::new, |at| at.to_string()));
+    }
     let (engine, mail) = mailbox();
     let (caller, calls) = list::mailbox();
     let clock = Clock::begin();
@@ -59,7 +87,8 @@
     let (follower, known) = Follower::new(clock.now(), own.watch, mode, config.discovery, config.seed, known);
     List::start(follower, clock, own.clone(), engine.clone(), calls);
     let load_probes = site.settings.reports != Reports::Off;
-    let peers = Peers::new(own.clone(), site.fields.clone().into(), load_probes, engine.clone());
+    let peers =
+        Peers::new(own.clone(), site.fields.clone().into(), load_probes, engine.clone(), metrics.clone());
     let most = u32::try_from(own.requests).unwrap_or(u32::MAX);
     let mut decides = Engine::new(&site, config.seed, most);
     if let Some(settings) = config.watch.take() {
@@ -67,22 +96,24 @@
         // Another seed than any pool's: it shares no draws.
         decides.watch(Watch::new(settings, &site.settings.fields, !config.seed));
     }
-    let actor = Actor::new(decides, clock, peers, caller.clone());
+    let gauges = Gauges { metrics: metrics.clone(), avoided: config.console.is_some() };
+    let actor = Actor::new(decides, clock, peers, caller.clone(), gauges);
     let mut module = actix_rt::spawn(actor.run(mail, known));
     let limits = Limits { named: limits.map(Path::to_path_buf), site: site.clone(), engine: engine.clone() };
     let (rules, rules_read) = watch::channel(None);
     if let Some(path) = limits.path(&config) {
         limits.take_up(&path, &rules)?;
     }
-    let (stage, stages) = watch::channel(Stage::Serving);
-    let mut front =
-        actix_rt::spawn(front::serve(config.listen, site, own.clone(), engine, stages, rules_read));
+    let told = front::Told { site, own: own.clone(), rules: rules_read, metrics: metrics.clone() };
+    let mut front = actix_rt::spawn(front::serve(listener, told, engine, lifecycle.clone()));
+    let ticking = lifecycle.clone();
+    actix_rt::spawn(async move { ticking.run().await });
     loop {
         tokio::select! {
             end = &mut front => return end.context("the server ended")?,
             // Without its decisions it cannot serve: ended here, it is started again.
             end = &mut module => return end.context("the module ended").and(Err(anyhow!("the module ended"))),
-            _ = reload.recv() => reloaded(&mut config, &caller, &limits, &rules),
+            _ = reload.recv() => reloaded(&mut config, &caller, &limits, &rules, &metrics),
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
         }
@@ -92,9 +123,7 @@
         "told to end: serving on for {:?}, then answering what was taken",
         config.accept_after_term
     );
-    stage.send_replace(Stage::Leaving);
-    sleep(config.accept_after_term).await;
-    stage.send_replace(Stage::Closing);
+    lifecycle.tell(Event::End);
     match timeout_at(told + config.end_after_term, front).await {
         Ok(end) => end.context("the server ended")??,
         Err(_) => tracing::warn!("connections still open at the end"),
@@ -105,14 +134,22 @@
 
 /// Takes up a new configuration; what is at fault changes nothing. Requests, connections and what the module
 /// has learnt stay.
-fn reloaded(config: &mut Config, list: &list::Caller, limits: &Limits, rules: &RulesSender) {
+fn reloaded(
+    config: &mut Config,
+    list: &list::Caller,
+    limits: &Limits,
+    rules: &RulesSender,
+    metrics: &Metrics,
+) {
     let new = match Config::reread() {
         Ok(new) => new,
         Err(error) => {
             tracing::error!("SIGHUP: going on with the old configuration: {error:#}");
+            metrics.load_errors.count();
             return;
         }
     };
+    metrics.loads.count();
     logger::set_level(new.log);
     tracing::info!("SIGHUP: new configuration, discovery at {}", new.discovery);
     let later = config.differs(&new);
--- /dev/null
+++ b/crates/status/src/metrics.rs
@@ -0,0 +1,158 @@
+//! Every figure of the process. Each is counted in one place, by the part that owns its event, and rendered here.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// A count that only rises.
+#[derive(Debug, Default)]
+pub struct Counter(AtomicU64);
+
+impl Counter {
+    /// One more.
+    pub fn count(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// How many.
+    #[must_use]
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// A figure that is set as it is.
+#[derive(Debug, Default)]
+pub struct Gauge(AtomicI64);
+
+impl Gauge {
+    /// Sets it.
+    pub fn set(&self, value: usize) {
+        self.0.store(i64::try_from(value).unwrap_or(i64::MAX), Ordering::Relaxed);
+    }
+
+    /// Its value.
+    #[must_use]
+    pub fn get(&self) -> i64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// How the requests of one class ended.
+#[derive(Debug, Default)]
+pub struct Ends {
+    /// Served.
+    pub passed: Counter,
+    /// Refused, by the rules or at a bound.
+    pub dropped: Counter,
+    /// Failed.
+    pub failed: Counter,
+}
+
+/// The figures.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    /// By the name of the class; one that was dropped stays, as counts never fall.
+    classes: Mutex<BTreeMap<String, Arc<Ends>>>,
+    /// Attempts written whole to servers.
+    pub tries: Counter,
+    in_progress: AtomicI64,
+    /// Servers in the list.
+    pub known: Gauge,
+    /// Listed servers that get nothing new now.
+    pub skipped: Gauge,
+    /// Files taken at SIGHUP.
+    pub loads: Counter,
+    /// Files turned down at SIGHUP.
+    pub load_errors: Counter,
+}
+
+/// A request that was taken and has not ended, counted for as long as this lives.
+#[derive(Debug)]
+pub struct InProgress(Arc<Metrics>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Metrics {
+    /// The counts of a class, the same ones for the same name.
+    #[must_use]
+    pub fn class(&self, name: &str) -> Arc<Ends> {
+        let mut classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
+        classes.entry(name.to_owned()).or_default().clone()
+    }
+
+    /// A request was taken.
+    #[must_use]
+    pub fn taken(self: &Arc<Metrics>) -> InProgress {
+        self.in_progress.fetch_add(1, Ordering::Relaxed);
+        InProgress(self.clone())
+    }
+
+    /// The figures as text, one a line.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut text = String::new();
+        let mut line = |name: &str, class: Option<&str>, value: String| {
+            // A write to a string does not fail.
+            let _ = match class {
+                Some(class) => writeln!(text, "svc_{name}{{category=\"{}\"}} {value}", escaped(class)),
+                None => writeln!(text, "svc_{name} {value}"),
+            };
+        };
+        type Pick = fn(&Ends) -> &Counter;
+        let ends: [(&str, Pick); 3] =
+            [("passed", |e| &e.passed), ("dropped", |e| &e.dropped), ("bad_gateway", |e| &e.failed)];
+        for (name, pick) in ends {
+            classes.iter().for_each(|(class, ends)| line(name, Some(class), pick(ends).get().to_string()));
+        }
+        line("upstream_tries", None, self.tries.get().to_string());
+        line("in_progress", None, self.in_progress.load(Ordering::Relaxed).max(0).to_string());
+        line("known_endpoints", None, self.known.get().to_string());
+        line("skipped_endpoints", None, self.skipped.get().to_string());
+        line("loads", None, self.loads.get().to_string());
+        line("load_errors", None, self.load_errors.get().to_string());
+        text
+    }
+}
+
+/// A label's value: what would end it is escaped.
+fn escaped(value: &str) -> String {
+    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_figure_stands_on_a_line_of_its_own() {
+        let metrics = Arc::new(Metrics::default());
+        metrics.class("b").passed.count();
+        metrics.class("a\"\n").dropped.count();
+        metrics.class("b").passed.count();
+        let one = metrics.taken();
+        drop(metrics.taken());
+        metrics.known.set(14);
+        let text = metrics.render();
+        for line in [
+            "svc_passed{category=\"b\"} 2",
+            "svc_passed{category=\"a\\\"\\n\"} 0",
+            "svc_dropped{category=\"a\\\"\\n\"} 1",
+            "svc_bad_gateway{category=\"b\"} 0",
+            "svc_upstream_tries 0",
+            "svc_in_progress 1",
+            "svc_known_endpoints 14",
+            "svc_loads 0",
+        ] {
+            assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
+        }
+        drop(one);
+        assert!(metrics.render().contains("svc_in_progress 0\n"));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod api;
 mod calls;
+mod draws;
 mod keys;
 pub mod rules;
 mod told;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,10 +5,10 @@
 
 use crate::api::*;
 use crate::calls::{CALL, Calls};
+use crate::draws::Draws;
 use crate::keys::{self, Keys};
 use crate::told::{self, Told};
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use rand::Rng;
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
@@ -184,14 +184,6 @@
     at: Time,
 }
 
-struct Draws(SmallRng);
-
-impl Default for Draws {
-    fn default() -> Draws {
-        Draws(SmallRng::seed_from_u64(0))
-    }
-}
-
 /// One balancer: its tables, its open requests, its view of the servers.
 #[derive(Default)]
 pub struct Balancer {
@@ -268,7 +260,7 @@
             live: set.weights == Weights::Live,
             tells,
             sees_load: counts_requests || tells,
-            rng: Draws(SmallRng::seed_from_u64(seed)),
+            rng: Draws::new(seed),
             busy: 0.5,
             usual: 0.5,
             turns: vec![Turn::default(); set.classes.len()],
@@ -364,6 +356,11 @@
         }
     }
 
+    /// How many listed servers get nothing new now. A question: it changes and draws nothing.
+    pub fn avoided(&self, now: Time) -> usize {
+        self.listed.iter().filter(|id| self.server(**id).shunned > now).count()
+    }
+
     fn server(&self, id: ServerId) -> &Server {
         &self.servers[id.0 as usize]
     }
