Settings taken up whole at SIGHUP: classes numbered by name and rules, attempts kept

Cause of the loss seen in the log: standings-ii was 404 as settings were taken only at a start. The test of reloads hung on the old wording of the refusal: its workers now end when it fails.

--- a/crates/engine/src/core.rs
+++ b/crates/engine/src/core.rs
@@ -10,7 +10,7 @@
 use crate::timers::Timers;
 use crate::watch::{Watch, Watched};
 use dunlincleat::api::{
-    Action, Attempt, Event, ListKind, RequestId, ServerId, Span, State, Status, Time, Token,
+    Action, Attempt, Event, ListKind, RequestId, ServerId, Settings, Span, State, Status, Time, Token,
 };
 use dunlincleat_directory::Delivery;
 use dunlincleat_limits::gate::Stand;
@@ -115,6 +115,10 @@
     Listed(Delivery),
     /// A call of discovery failed, or the watch ended, where lists come on request.
     ListFailed,
+    /// Other settings; requests in hand keep their class and number of attempts.
+    Settings(Arc<Site>),
+    /// The same for the module that only watches, where there is one.
+    Watched(Arc<Settings>),
     /// New limits; requests in hand keep those that they were taken under.
     Rules(Arc<RuleSet>),
 }
@@ -220,6 +224,8 @@
     wait: Span,
     slot: SlotId,
     rule: Option<Arc<Rule>>,
+    /// Attempts that it may have.
+    most: u32,
     /// Where it stands with its route, until it is answered.
     stand: Stand,
     answered: bool,
@@ -237,6 +243,11 @@
     Copy(RequestId),
 }
 
+/// The longest that a request may be open.
+fn longest(site: &Site) -> Span {
+    site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default()
+}
+
 /// The engine.
 pub struct Engine<P, B> {
     pools: Pools,
@@ -263,7 +274,7 @@
     /// An engine by these settings that may hold `most` requests; `seed` is for the draws.
     #[must_use]
     pub fn new(site: &Site, seed: u64, most: u32) -> Engine<P, B> {
-        let longest = site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+        let longest = longest(site);
         Engine {
             max_attempts: site.settings.limits.max_attempts,
             cancel: site.settings.limits.cancel,
@@ -373,7 +384,9 @@
                 }
                 let left = Span(wait.0.saturating_sub((now - received).0));
                 let (answered, attempts, ended) = (false, Vec::new(), Vec::new());
-                let entry = Entry { payload, wait, slot, rule, stand, answered, attempts, ended, out: 0 };
+                let most = self.max_attempts;
+                let entry =
+                    Entry { payload, wait, slot, rule, most, stand, answered, attempts, ended, out: 0 };
                 self.requests.insert(id, entry);
                 self.event(now, slot, Event::Request { id, left, class, tenant, hint, key, repeat }, out);
             }
@@ -399,6 +412,20 @@
                     self.event(now, slot, Event::Members { kind: ListKind::Failed, entries: &[] }, out);
                 }
             }
+            Input::Settings(site) => {
+                self.max_attempts = site.settings.limits.max_attempts;
+                self.cancel = site.settings.limits.cancel;
+                // A request may have been taken under the longer deadline.
+                self.remembered = self.remembered.max(longest(&site));
+                for slot in self.pools.settle(&site, self.remembered) {
+                    self.event(now, slot, Event::Settings { set: &site.settings }, out);
+                }
+            }
+            Input::Watched(settings) => {
+                if let Some(watch) = &mut self.watch {
+                    watch.adopt(now, &settings);
+                }
+            }
             Input::Rules(rules) => {
                 self.gate.keep(rules.rules().map(|rule| rule.name.as_str()));
                 for (slot, members) in self.pools.adopt(now, &rules) {
@@ -565,7 +592,7 @@
         entry.ended.push(false);
         entry.out += 1;
         self.tally.attempts += 1;
-        let mut over = entry.answered || attempt.0 >= self.max_attempts;
+        let mut over = entry.answered || attempt.0 >= entry.most;
         // A second copy of the module's own goes out only where the rule of its route pays for one more attempt.
         if let Some(rule) = entry.rule.as_ref().filter(|_| entry.out > 1 && self.paid != Some(id)) {
             over |= !self.gate.repeat(now, rule, &mut entry.stand, attempt.0);
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -147,6 +147,12 @@
         each
     }
 
+    /// Takes up other settings for pools to come; gives those that are to be told.
+    pub fn settle(&mut self, site: &Site, longest: Span) -> Vec<SlotId> {
+        (self.settings, self.longest) = (site.settings.clone(), longest);
+        self.slots()
+    }
+
     /// Takes up the pools of a new file; gives the servers of each that is new.
     pub fn adopt(&mut self, now: Time, rules: &RuleSet) -> Vec<(SlotId, Vec<Member>)> {
         for slot in self.slots.values_mut().filter(|slot| slot.rule.is_some()) {
--- a/crates/engine/src/shell.rs
+++ b/crates/engine/src/shell.rs
@@ -5,9 +5,10 @@
 use crate::core::{Answer, Ask, Ended, Engine, Input, Output, Tally};
 use crate::pools::SlotId;
 use crate::watch::Watched;
-use dunlincleat::api::{Attempt, RequestId, ServerId, State, Time};
+use dunlincleat::api::{Attempt, RequestId, ServerId, Settings, State, Time};
 use dunlincleat_directory::{Cause, Delivery, Health};
 use dunlincleat_limits::RuleSet;
+use dunlincleat_settings::Site;
 use dunlincleat_status::Metrics;
 use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
@@ -127,6 +128,16 @@
         self.tell(Msg::Input(Input::ListFailed));
     }
 
+    /// Other settings, before any request under them.
+    pub fn settings(&self, site: Arc<Site>) {
+        self.tell(Msg::Input(Input::Settings(site)));
+    }
+
+    /// Other settings that are only watched.
+    pub fn watched(&self, settings: Arc<Settings>) {
+        self.tell(Msg::Input(Input::Watched(settings)));
+    }
+
     /// New limits. Those under whom requests come next are to be told first.
     pub fn rules(&self, rules: Arc<RuleSet>) {
         self.tell(Msg::Input(Input::Rules(rules)));
@@ -260,6 +271,8 @@
             | Input::Gone(_)
             | Input::Probed { .. }
             | Input::ListFailed
+            | Input::Settings(_)
+            | Input::Watched(_)
             | Input::Rules(_) => {}
         }
         let listed = matches!(input, Input::Listed(_));
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Takes up other settings to decide by.
+    pub fn adopt(&mut self, now: Time, settings: &Settings) {
+        let mut own = std::mem::take(&mut self.actions);
+        self.balancer.on_event(now, Event::Settings { set: settings }, &mut own);
+        self.actions = own;
+    }
+
     /// What was counted since this was last called.
     pub fn take(&mut self) -> Watched {
         std::mem::take(&mut self.counts)
@@ -137,6 +144,8 @@
         match event {
             // Its own timers are its own, and no probe of its own is ever out.
             Event::Timer { .. } | Event::Probed { .. } => {}
+            // It has settings of its own, which come by `adopt`.
+            Event::Settings { .. } => {}
             Event::Outcome { id, attempt, status, closed, again, latency, server, load } => {
                 let seen = self.seen.get(&id);
                 let mine = seen.and_then(|seen| seen.own.get(attempt.0 as usize).copied().flatten());
--- a/crates/fleet/src/baseline.rs
+++ b/crates/fleet/src/baseline.rs
@@ -179,7 +179,12 @@
                     }
                 }
             }
-            Input::Probed { .. } | Input::ListFailed | Input::Rules(_) => {}
+            // A day has one set of settings.
+            Input::Probed { .. }
+            | Input::ListFailed
+            | Input::Settings(_)
+            | Input::Watched(_)
+            | Input::Rules(_) => {}
         }
     }
 
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -16,7 +16,7 @@
 use dunlincleat_limits::RuleSet;
 use dunlincleat_settings::Site;
 use dunlincleat_status::lifecycle;
-use dunlincleat_status::metrics::{Counter, Ends, InProgress};
+use dunlincleat_status::metrics::{Ends, InProgress};
 use dunlincleat_status::{Lifecycle, Metrics, Stage};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
@@ -49,8 +49,24 @@
 /// In standby, the age from which a connection that has sent nothing is closed: one that has just come is asked first.
 const SILENT: Duration = Duration::from_millis(500);
 
-/// The operator's limits, where there are any; replaced in one step by a reload.
-pub type Rules = watch::Receiver<Option<Arc<RuleSet>>>;
+/// What requests are taken under; replaced in one step by a reload.
+pub struct InForce {
+    /// The settings.
+    pub site: Arc<Site>,
+    /// The operator's limits, where there are any.
+    pub rules: Option<Arc<RuleSet>>,
+    /// The counts of each class, by its number.
+    ends: Vec<Arc<Ends>>,
+}
+
+impl InForce {
+    /// These settings and limits.
+    pub fn new(site: Arc<Site>, rules: Option<Arc<RuleSet>>, metrics: &Metrics) -> InForce {
+        // A number that no class has now counts nowhere.
+        let ends = |name: &String| if name.is_empty() { Arc::default() } else { metrics.class(name) };
+        InForce { ends: site.classes.iter().map(ends).collect(), site, rules }
+    }
+}
 
 /// Where clients connect.
 pub enum Listener {
@@ -62,21 +78,17 @@
 
 /// What the front is told.
 pub struct Told {
-    /// The settings.
-    pub site: Rc<Site>,
+    /// What is in force, now and later.
+    pub in_force: watch::Receiver<Rc<InForce>>,
     /// Its bounds and times.
     pub own: Rc<Own>,
-    /// The operator's limits.
-    pub rules: Rules,
     /// Where it counts.
     pub metrics: Arc<Metrics>,
 }
 
 /// What the handlers of requests share.
 struct Front {
-    site: Rc<Site>,
-    /// The counts of each class, by its number.
-    ends: Vec<Arc<Ends>>,
+    in_force: watch::Receiver<Rc<InForce>>,
     metrics: Arc<Metrics>,
     own: Rc<Own>,
     engine: Handle,
@@ -87,8 +99,6 @@
     ids: RefCell<FxHashSet<HeaderValue>>,
     next: Cell<u64>,
     stage: watch::Receiver<Stage>,
-    /// The operator's limits, where there are any.
-    rules: Rules,
     /// Lines of the log for requests refused at a bound, and for malformed ones.
     full: Seldom,
     malformed: Seldom,
@@ -96,7 +106,7 @@
 
 /// Accepts and serves until the stage is `Closing` and every connection has ended.
 pub async fn serve(listener: Listener, told: Told, engine: Handle, lifecycle: Arc<Lifecycle>) -> Result<()> {
-    let Told { site, own, rules, metrics } = told;
+    let Told { in_force, own, metrics } = told;
     let mut stage = lifecycle.follow();
     let most = own.client_connections + OVER;
     let (listener, shared) = match listener {
@@ -111,8 +121,7 @@
     let requests = Arc::new(Semaphore::new(own.requests));
     let clients = Rc::new(Clients { own: own.clone(), seats: RefCell::default(), next: Cell::new(0) });
     let front = Rc::new(Front {
-        ends: site.classes.iter().map(|name| metrics.class(name)).collect(),
-        site,
+        in_force,
         metrics,
         own,
         engine,
@@ -121,7 +130,6 @@
         ids: RefCell::default(),
         next: Cell::new(0),
         stage: stage.clone(),
-        rules,
         full: Seldom::default(),
         malformed: Seldom::default(),
     });
@@ -239,6 +247,8 @@
     let over = state.as_ref().is_some_and(|state| state.over);
     // A client that was turned away is told to close: what it sent ahead is not worth more work.
     let mut turned_away = false;
+    // Under the settings that it came under: its class may be dropped meanwhile.
+    let ends = front.ends(request.path());
     let mut response = if request.method() == Method::GET && request.path() == HEALTH {
         match front.stage.borrow().ready() {
             true => Response::with_body(StatusCode::OK, Bytes::from_static(b"ok\n")),
@@ -246,20 +256,20 @@
         }
     } else if over {
         seldom!(front.full, warn, Crowd(&front.clients));
-        front.ended(request.path(), |ends| &ends.dropped);
+        ends.dropped.count();
         encode(Answer::Refused { retry_after: None })
     } else {
         match front.take(&mut request, state.as_deref(), received).await {
             Ok(answer) => {
-                front.ended(request.path(), |ends| match answer {
-                    Answer::Served(_) => &ends.passed,
-                    Answer::Refused { .. } => &ends.dropped,
-                    Answer::Failed => &ends.failed,
-                });
+                match answer {
+                    Answer::Served(_) => ends.passed.count(),
+                    Answer::Refused { .. } => ends.dropped.count(),
+                    Answer::Failed => ends.failed.count(),
+                }
                 encode(answer)
             }
             Err(malformed) => {
-                front.ended(request.path(), |ends| &ends.failed);
+                ends.failed.count();
                 let line = format!("request not taken: {} ({})", malformed.what, malformed.status.as_u16());
                 seldom!(front.malformed, info, line);
                 turned_away = true;
@@ -281,10 +291,12 @@
 }
 
 impl Front {
-    /// Counts the final answer to a request of the class that its path names; one that names none counts nowhere.
-    fn ended(&self, path: &str, count: impl Fn(&Ends) -> &Counter) {
-        let class = class_of(path, &self.site);
-        class.and_then(|class| self.ends.get(class)).into_iter().for_each(|ends| count(ends).count());
+    /// Where the final answer to a request of the class that its path names is counted; one that names none is
+    /// counted nowhere.
+    fn ends(&self, path: &str) -> Arc<Ends> {
+        let in_force = self.in_force.borrow();
+        let class = class_of(path, &in_force.site).and_then(|class| in_force.ends.get(class));
+        class.cloned().unwrap_or_default()
     }
 
     async fn take(
@@ -293,8 +305,9 @@
         state: Option<&ClientState>,
         received: Instant,
     ) -> Result<Answer, Malformed> {
-        let rules = self.rules.borrow().clone();
-        let decoded = Request::decode(request.head(), &self.site, rules.as_deref(), self.own.body_bytes)?;
+        let in_force = self.in_force.borrow().clone();
+        let (site, rules) = (&in_force.site, in_force.rules.as_deref());
+        let decoded = Request::decode(request.head(), site, rules, self.own.body_bytes)?;
         let body = read_body(&mut request.take_payload(), self.own.body_bytes).await?;
         let Ok(permit) = self.requests.clone().try_acquire_owned() else {
             seldom!(self.full, warn, "request refused: the bound on requests in hand is reached");
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,7 +3,7 @@
 
 #![forbid(unsafe_code)]
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result, anyhow, bail};
 use dunlincleat::api::{
     Class, Discovery, Effect, Field, Group, Limits, Prices, Reports, Safety, Settings, Span, Tail, Tenant,
     Weights,
@@ -109,6 +109,9 @@
     drain_grace: Option<u64>,
 }
 
+mod succession;
+pub use succession::{Succession, lacking};
+
 /// What an instance is told: the module's settings, and what only its host needs.
 #[derive(Clone, Debug)]
 pub struct Site {
@@ -136,15 +139,46 @@
 
 /// Reads the settings of one instance from text.
 pub fn read(text: &str) -> Result<Site> {
-    site(serde_json::from_str(text).context("settings")?)
+    read_value(serde_json::from_str(text).context("settings")?)
 }
 
 /// Reads the settings of one instance from a part of a larger object.
 pub fn read_value(value: serde_json::Value) -> Result<Site> {
-    site(serde_json::from_value(value).context("settings")?)
+    site(serde_path_to_error::deserialize(value).map_err(|error| anyhow!("settings: {error}"))?)
+}
+
+/// The longest time that a class may be given: a day. A larger figure is a unit mistaken.
+const LONGEST: u64 = 86_400_000_000;
+/// The most attempts that a request may be given.
+const ATTEMPTS: u32 = 1000;
+
+/// Whether the figures that requests are judged by can be true.
+fn prove(env: &Env) -> Result<()> {
+    for (n, class) in env.classes.iter().enumerate() {
+        for (key, value) in [("aim", class.aim), ("deadline", class.deadline)] {
+            if !(1..=LONGEST).contains(&value) {
+                bail!(
+                    "settings: classes[{n}].{key}: {value} is no number of microseconds from 1 to {LONGEST}"
+                );
+            }
+        }
+        if !class.name.is_empty() && env.classes[..n].iter().any(|other| other.name == class.name) {
+            bail!(
+                "settings: classes[{n}].name: '{}' stands there twice; each class has one entry",
+                class.name
+            );
+        }
+    }
+    match env.limits.try_limit {
+        Some(most) if !(1..=ATTEMPTS).contains(&most) => {
+            bail!("settings: limits.try_limit: {most} is no number of attempts from 1 to {ATTEMPTS}")
+        }
+        Some(_) | None => Ok(()),
+    }
 }
 
 fn site(env: Env) -> Result<Site> {
+    prove(&env)?;
     let names = |names: &[EnvClass]| names.iter().map(|c| c.name.clone()).collect();
     Ok(Site {
         classes: names(&env.classes),
@@ -243,6 +277,7 @@
         late_worth: c.late_worth,
         effect,
         stream: c.stream,
+        retired: false,
     })
 }
 
--- /dev/null
+++ b/crates/settings/src/succession.rs
@@ -0,0 +1,154 @@
+//! From the settings in force to the next ones, in a running process. Pure: classes get their numbers here.
+
+use crate::Site;
+use dunlincleat::api::{Class, Span, Time};
+use serde_json::Value;
+
+/// How long after a class was dropped a front may still hand in a request of it.
+const HANDED_IN: Span = Span(10_000_000);
+
+/// The numbers of the classes over all settings of a process. A request in hand holds its class by number, so a
+/// number is used anew only when no request can hold it any more.
+#[derive(Clone, Debug, Default)]
+pub struct Succession {
+    /// Since when each number is free of new requests; none while it is in use.
+    retired: Vec<Option<Time>>,
+}
+
+impl Succession {
+    /// The settings that follow `old` from `now` on: `new` with its classes under their numbers for good. What only a
+    /// start takes up (how reports and lists come, the zones) stays as it was; the keys that differ there are named.
+    pub fn follow(&mut self, now: Time, old: &Site, mut new: Site) -> (Site, Vec<&'static str>) {
+        let (mut names, mut classes) = (old.classes.clone(), old.settings.classes.clone());
+        self.retired.resize(classes.len(), None);
+        let told: Vec<(String, Class)> = new.classes.drain(..).zip(new.settings.classes.drain(..)).collect();
+        for n in 0..classes.len() {
+            let stays = told.iter().any(|(name, class)| *name == names[n] && *class == classes[n]);
+            if !stays && !classes[n].retired {
+                // No path names it any more.
+                names[n].clear();
+                classes[n].retired = true;
+                self.retired[n] = Some(now);
+            }
+        }
+        for (name, class) in told {
+            if names.iter().zip(&classes).any(|(other, held)| *other == name && !held.retired) {
+                continue;
+            }
+            let over = |n: &usize| {
+                let held = Span(classes[*n].deadline.0.saturating_add(HANDED_IN.0));
+                self.retired[*n].is_some_and(|at| now - at > held)
+            };
+            let n = (0..classes.len()).find(over).unwrap_or(classes.len());
+            if n == classes.len() {
+                names.push(name);
+                classes.push(class);
+                self.retired.push(None);
+            } else {
+                (names[n], classes[n], self.retired[n]) = (name, class, None);
+            }
+        }
+        (new.classes, new.settings.classes) = (names, classes);
+        let mut later = Vec::new();
+        let (was, is) = (&old.settings, &mut new.settings);
+        if new.fields != old.fields || is.reports != was.reports {
+            later.push("settings.stats");
+        }
+        if is.discovery != was.discovery {
+            later.push("settings.discovery");
+        }
+        if new.zones != old.zones || is.zone != was.zone {
+            later.push("settings.zones, settings.locality");
+        }
+        (is.reports, is.fields, is.discovery, is.zone) =
+            (was.reports, was.fields.clone(), was.discovery, was.zone);
+        (new.fields, new.zones) = (old.fields.clone(), old.zones.clone());
+        (new, later)
+    }
+}
+
+/// The first key that an object in force has and the next one lacks, in the form `a.b[1].c`; the elements of a list
+/// are all held to its first one in force.
+#[must_use]
+pub fn lacking(old: &Value, new: &Value) -> Option<String> {
+    fn joined(at: &str, rest: String) -> String {
+        if rest.is_empty() || rest.starts_with('[') { format!("{at}{rest}") } else { format!("{at}.{rest}") }
+    }
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, was)| match new.get(key) {
+            None => Some(key.clone()),
+            Some(Value::Null) if !was.is_null() => Some(key.clone()),
+            Some(is) => lacking(was, is).map(|rest| joined(key, rest)),
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let first = old.first().filter(|first| first.is_object())?;
+            new.iter().enumerate().find_map(|(n, is)| Some(joined(&format!("[{n}]"), lacking(first, is)?)))
+        }
+        _ => None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use dunlincleat::api::Effect;
+    use serde_json::json;
+
+    fn site(classes: &[(&str, u64, &str)]) -> Site {
+        let classes: Vec<Value> = classes
+            .iter()
+            .map(|(name, deadline, semantics)| {
+                json!({"name": name, "aim": 1, "deadline": deadline, "semantics": semantics})
+            })
+            .collect();
+        crate::read_value(json!({"classes": classes, "safety": {}, "limits": {"try_limit": 2}})).unwrap()
+    }
+
+    /// Guards open requests: under no order of files does a number change what it means while one may hold it.
+    #[test]
+    fn a_number_means_one_class_for_as_long_as_a_request_may_hold_it() {
+        let mut succession = Succession::default();
+        let first = site(&[("a", 10, "retryable"), ("b", 20, "fragile")]);
+        let at = |s: u64| Time(s * 1_000_000);
+        let (second, _) = succession.follow(
+            at(1),
+            &first,
+            site(&[("b", 20, "fragile"), ("c", 5, "retryable"), ("a", 10, "fragile")]),
+        );
+        assert_eq!(second.classes, ["", "b", "c", "a"], "what changed is another class");
+        assert_eq!(second.settings.classes[0].effect, Effect::Safe, "and an open request keeps the old one");
+        assert!(second.settings.classes[0].retired && !second.settings.classes[3].retired);
+        let (third, _) =
+            succession.follow(at(2), &second, site(&[("b", 20, "fragile"), ("d", 5, "retryable")]));
+        assert_eq!(third.classes, ["", "b", "", "", "d"], "too early to use a number again");
+        let (fourth, _) =
+            succession.follow(at(30), &third, site(&[("e", 5, "retryable"), ("b", 20, "fragile")]));
+        assert_eq!(fourth.classes, ["e", "b", "", "", ""]);
+        assert!(fourth.settings.classes[4].retired && !fourth.settings.classes[0].retired);
+    }
+
+    #[test]
+    fn what_only_a_start_takes_up_is_named_and_stays() {
+        let old = site(&[("a", 10, "retryable")]);
+        let mut new = site(&[("a", 10, "retryable")]);
+        new.fields = vec!["inflight".to_owned()];
+        new.settings.limits.max_attempts = 5;
+        let (next, later) = Succession::default().follow(Time(1), &old, new);
+        assert_eq!((next.fields.len(), next.settings.limits.max_attempts), (0, 5));
+        assert_eq!(later, ["settings.stats"]);
+    }
+
+    #[test]
+    fn the_first_missing_key_is_named() {
+        let old = json!({"a": 1, "b": {"c": 1}, "l": [{"x": 1, "y": 2}]});
+        assert_eq!(
+            lacking(&old, &json!({"a": 2, "b": {"c": 0, "n": 1}, "l": [{"x": 1, "y": 2}], "n": 1})),
+            None
+        );
+        let lacks = |new: Value| lacking(&old, &new).unwrap_or_default();
+        assert_eq!(lacks(json!({"b": {"c": 1}, "l": []})), "a");
+        assert_eq!(lacks(json!({"a": null, "b": {"c": 1}, "l": []})), "a");
+        assert_eq!(lacks(json!({"a": 1, "b": {}, "l": []})), "b.c");
+        assert_eq!(lacks(json!({"a": 1, "b": {"c": 1}, "l": [{"x": 1, "y": 1}, {"x": 1}]})), "l[1].y");
+    }
+}
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -8,12 +8,13 @@
 use dunlincleat::api::{Settings, Span};
 use dunlincleat_directory::{Figures, Listing};
 use dunlincleat_http::own::Own;
-use dunlincleat_settings::Site;
+use dunlincleat_settings::{Site, lacking};
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tracing::level_filters::LevelFilter;
 
@@ -37,7 +38,7 @@
     /// The list of servers as last held.
     pub known: Listing,
     /// The settings object.
-    pub site: Rc<Site>,
+    pub site: Arc<Site>,
     /// The figures that the deployment does not tell, from the object `sidecar`, each with a default.
     pub own: Rc<Own>,
     /// The least level of log lines.
@@ -54,6 +55,8 @@
     pub watch: Option<Settings>,
     /// What is taken up only at a start, by key, to tell where a new file differs in it.
     fixed: Vec<(&'static str, Option<Value>)>,
+    /// The file as it was read.
+    told: Value,
 }
 
 /// Where a key of the file and a variable say the same thing, the one that goes before the other.
@@ -64,7 +67,10 @@
 }
 
 /// The keys that a reload does not take up. `seed` and `known` matter at a start alone.
-const FIXED: [&str; 7] = ["name", "listen", "console", "limits", "settings", "sidecar", "watch"];
+const FIXED: [&str; 5] = ["name", "listen", "console", "limits", "sidecar"];
+
+/// The keys that may come and go with a reload.
+const OPTIONAL: [&str; 4] = ["known", "limits_file", "sidecar", "watch"];
 
 impl Config {
     /// Reads the environment and the file that it names.
@@ -77,12 +83,31 @@
         Config::load(First::File)
     }
 
+    /// The first key that the file in force has and the other's lacks, of those that may not be left out.
+    pub fn lacking(&self, other: &Config) -> Option<String> {
+        let (Value::Object(old), Value::Object(new)) = (&self.told, &other.told) else { return None };
+        let kept = old.iter().filter(|(key, _)| !OPTIONAL.contains(&key.as_str()));
+        kept.into_iter().find_map(|(key, was)| match new.get(key) {
+            None | Some(Value::Null) if !was.is_null() => Some(key.clone()),
+            Some(is) if key == "settings" => lacking(was, is).map(|rest| format!("{key}.{rest}")),
+            Some(_) | None => None,
+        })
+    }
+
     /// The keys in which the other differs, of those that are taken up only at a start.
     pub fn differs(&self, other: &Config) -> Vec<&'static str> {
         let pairs = self.fixed.iter().zip(&other.fixed);
         pairs.filter(|(mine, others)| mine != others).map(|(mine, _)| mine.0).collect()
     }
 
+    /// What a reload took up is in force.
+    pub fn took(&mut self, new: Config, site: Arc<Site>) {
+        let fixed = std::mem::take(&mut self.fixed);
+        let (listen, console, own, name) = (self.listen, self.console, self.own.clone(), self.name.clone());
+        // What is taken up only at a start stays as it was.
+        *self = Config { fixed, listen, console, own, name, site, ..new };
+    }
+
     fn load(discovery: First) -> Result<Config> {
         let path = env("EDGE_CONFIG")?.context("EDGE_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path).with_context(|| format!("EDGE_CONFIG: '{path}'"))?;
@@ -95,6 +120,7 @@
         env: impl Fn(&'static str) -> Result<Option<String>>,
     ) -> Result<Config> {
         let value: Value = serde_json::from_str(text).context("EDGE_CONFIG: not JSON")?;
+        let told = value.clone();
         let Value::Object(mut file) = value else { bail!("EDGE_CONFIG: not a JSON object") };
         let mut fixed = FIXED.map(|key| (key, file.get(key).cloned())).to_vec();
         // The level of the log is taken up at once.
@@ -179,7 +205,7 @@
         };
         let Told { own, log, form, accept_after_term, end_after_term } =
             Told::read(&own, &limits, &site, console.map_or(0, |_| CONSOLE_KEPT))?;
-        let (own, site) = (Rc::new(own), Rc::new(site));
+        let (own, site) = (Rc::new(own), Arc::new(site));
         Ok(Config {
             name,
             listen,
@@ -196,6 +222,7 @@
             limits_file,
             watch,
             fixed,
+            told,
         })
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,18 +9,18 @@
 
 use anyhow::{Context, Result, anyhow, bail};
 use config::Config;
-use dunlincleat::api::{Reports, Time};
+use dunlincleat::api::{Reports, Settings, Time};
 use dunlincleat_directory::{Follower, Listing, Snapshot};
 use dunlincleat_engine::Watch;
 use dunlincleat_engine::clock::Clock;
 use dunlincleat_engine::shell::{Actor, Gauges, mailbox};
 use dunlincleat_http::Engine;
-use dunlincleat_http::front;
+use dunlincleat_http::front::{self, InForce};
 use dunlincleat_http::list::{self, List};
 use dunlincleat_http::own::Own;
 use dunlincleat_http::peer::Peers;
 use dunlincleat_limits::{RuleSet, Severity};
-use dunlincleat_settings::Site;
+use dunlincleat_settings::{Site, Succession};
 use dunlincleat_status::lifecycle::{Event, Machine, Times};
 use dunlincleat_status::{Lifecycle, Metrics};
 use std::net::TcpListener;
@@ -60,7 +60,8 @@
     let mut site = site;
     if site.settings.limits.peers {
         tracing::warn!("messages between sidecars have no protocol yet: the module does without");
-        Rc::make_mut(&mut site).settings.limits.peers = false;
+        Arc::make_mut(&mut site).settings.limits.peers = false;
+        config.site = site.clone();
     }
     // All that can be at fault is tried before anything is served: a second process must not disturb the first.
     let console = config.console.map(|at| dunlincleat_console::bind(at).context("console")).transpose()?;
@@ -99,12 +100,17 @@
     let gauges = Gauges { metrics: metrics.clone(), avoided: config.console.is_some() };
     let actor = Actor::new(decides, clock, peers, caller.clone(), gauges);
     let mut module = actix_rt::spawn(actor.run(mail, known));
-    let limits = Limits { named: limits.map(Path::to_path_buf), site: site.clone(), engine: engine.clone() };
-    let (rules, rules_read) = watch::channel(None);
-    if let Some(path) = limits.path(&config) {
-        limits.take_up(&path, &rules)?;
+    let named = limits.map(Path::to_path_buf);
+    let path = named.clone().or_else(|| config.limits_file.clone());
+    let rules = path.map(|path| read_limits(&path, &site)).transpose()?.map(Arc::new);
+    if let Some(rules) = &rules {
+        engine.rules(rules.clone());
     }
-    let told = front::Told { site, own: own.clone(), rules: rules_read, metrics: metrics.clone() };
+    let (in_force, followed) = watch::channel(Rc::new(InForce::new(site, rules, &metrics)));
+    let told = front::Told { in_force: followed, own: own.clone(), metrics: metrics.clone() };
+    let succession = Succession::default();
+    let (list, handle) = (caller, engine.clone());
+    let mut reloads = Reload { named, succession, engine: handle, list, in_force, metrics, clock };
     let mut front = actix_rt::spawn(front::serve(listener, told, engine, lifecycle.clone()));
     let ticking = lifecycle.clone();
     actix_rt::spawn(async move { ticking.run().await });
@@ -113,7 +119,7 @@
             end = &mut front => return end.context("the server ended")?,
             // Without its decisions it cannot serve: ended here, it is started again.
             end = &mut module => return end.context("the module ended").and(Err(anyhow!("the module ended"))),
-            _ = reload.recv() => reloaded(&mut config, &caller, &limits, &rules, &metrics),
+            _ = reload.recv() => reloads.reload(&mut config),
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
         }
@@ -132,90 +138,104 @@
     Ok(())
 }
 
-/// Takes up a new configuration; what is at fault changes nothing. Requests, connections and what the module
-/// has learnt stay.
-fn reloaded(
-    config: &mut Config,
-    list: &list::Caller,
-    limits: &Limits,
-    rules: &RulesSender,
-    metrics: &Metrics,
-) {
-    let new = match Config::reread() {
-        Ok(new) => new,
-        Err(error) => {
-            tracing::error!("SIGHUP: going on with the old configuration: {error:#}");
-            metrics.load_errors.count();
-            return;
-        }
-    };
-    metrics.loads.count();
-    logger::set_level(new.log);
-    tracing::info!("SIGHUP: new configuration, discovery at {}", new.discovery);
-    let later = config.differs(&new);
-    if !later.is_empty() {
-        tracing::warn!("SIGHUP: taken up only at the next start: {}", later.join(", "));
-    }
-    if new.discovery != config.discovery {
-        config.discovery = new.discovery;
-        list.moved(new.discovery);
-    }
-    config.limits_file = new.limits_file;
-    match limits.path(config) {
-        Some(path) => {
-            if let Err(error) = limits.take_up(&path, rules) {
-                tracing::error!("SIGHUP: going on with the old limits: {error:#}");
-            }
-        }
-        // No file is named any more: nothing is narrowed.
-        None if rules.borrow().is_some() => {
-            tracing::info!("SIGHUP: no limits any more");
-            limits.swap(RuleSet::open(), rules);
-        }
-        None => {}
-    }
-}
-
-type RulesSender = watch::Sender<Option<Arc<RuleSet>>>;
-
-/// The operator's file: where it is, and what takes it up.
-struct Limits {
-    /// Named on the command line, before all else.
+/// What a reload reaches.
+struct Reload {
+    /// The operator's file that the command line names, before all else.
     named: Option<PathBuf>,
-    site: Rc<Site>,
+    succession: Succession,
     engine: dunlincleat_http::Handle,
+    list: list::Caller,
+    in_force: watch::Sender<Rc<InForce>>,
+    metrics: Arc<Metrics>,
+    clock: Clock,
 }
 
-impl Limits {
-    fn path(&self, config: &Config) -> Option<PathBuf> {
-        self.named.clone().or_else(|| config.limits_file.clone())
+impl Reload {
+    /// Takes up a new configuration, whole or not at all. Requests, connections and what the module has learnt stay.
+    fn reload(&mut self, config: &mut Config) {
+        match self.take_up(config) {
+            Ok(()) => self.metrics.loads.count(),
+            Err(error) => {
+                self.metrics.load_errors.count();
+                tracing::error!("SIGHUP: going on with the old configuration: {error:#}");
+            }
+        }
     }
 
-    /// Reads the file, proves it, and swaps it in whole; a file at fault changes nothing.
-    fn take_up(&self, path: &Path, rules: &RulesSender) -> Result<()> {
-        let text = std::fs::read_to_string(path).with_context(|| format!("limits '{}'", path.display()))?;
-        let (faults, read) = dunlincleat_limits::check(&text, &self.site);
-        let (errors, warnings): (Vec<_>, Vec<_>) =
-            faults.iter().partition(|fault| fault.severity == Severity::Error);
-        for warning in warnings {
-            tracing::warn!("limits {}:{warning}", path.display());
+    fn take_up(&mut self, config: &mut Config) -> Result<()> {
+        let new = Config::reread()?;
+        if let Some(key) = config.lacking(&new) {
+            bail!("EDGE_CONFIG: {key} is missing; the file in force has it, and a start alone does without");
+        }
+        // All is proved before any of it counts.
+        let mut told = Site::clone(&new.site);
+        told.settings.limits.peers = false;
+        let mut succession = self.succession.clone();
+        let (site, fixed) = succession.follow(self.clock.now(), &config.site, told);
+        let site = Arc::new(site);
+        let path = self.named.clone().or_else(|| new.limits_file.clone());
+        let rules = path.map(|path| read_limits(&path, &site)).transpose()?.map(Arc::new);
+        let later: Vec<&str> = config.differs(&new).into_iter().chain(fixed).collect();
+
+        self.succession = succession;
+        logger::set_level(new.log);
+        tracing::info!("SIGHUP: new configuration, discovery at {}", new.discovery);
+        if !later.is_empty() {
+            tracing::warn!("SIGHUP: taken up only at the next start: {}", later.join(", "));
+        }
+        if new.discovery != config.discovery {
+            self.list.moved(new.discovery);
         }
-        let Some(read) = read else {
-            let faults: Vec<String> = errors.iter().map(ToString::to_string).collect();
-            bail!("limits '{}' refused, {} faults: {}", path.display(), faults.len(), faults.join(" | "));
+        // The engine hears of all of it before any request under it.
+        self.engine.settings(site.clone());
+        if let Some(watched) = &new.watch {
+            self.engine.watched(Arc::new(beside(watched.clone(), &new.site, &site)));
+        }
+        let had = self.in_force.borrow().rules.is_some();
+        let rules = match rules {
+            // No file is named any more: nothing is narrowed.
+            None if had => {
+                tracing::info!("SIGHUP: no limits any more");
+                Some(Arc::new(RuleSet::open()))
+            }
+            rules => rules,
         };
-        let (routes, pools) = (read.rules().count() - 1, read.pools().len());
-        tracing::info!("limits {} taken up: {routes} routes, {pools} pools", path.display());
-        self.swap(read, rules);
+        if let Some(rules) = &rules {
+            self.engine.rules(rules.clone());
+        }
+        self.in_force.send_replace(Rc::new(InForce::new(site.clone(), rules, &self.metrics)));
+        config.took(new, site);
         Ok(())
     }
+}
+
+/// Settings that are only watched, with their classes under the numbers of those in force.
+fn beside(mut watched: Settings, told: &Site, site: &Site) -> Settings {
+    let own = std::mem::replace(&mut watched.classes, site.settings.classes.clone());
+    for (name, class) in told.classes.iter().zip(own) {
+        if let Some(n) = site.classes.iter().position(|held| held == name) {
+            watched.classes[n] = class;
+        }
+    }
+    watched
+}
 
-    /// The engine hears of the new rules before any request under them.
-    fn swap(&self, read: RuleSet, rules: &RulesSender) {
-        let read = Arc::new(read);
-        self.engine.rules(read.clone());
-        rules.send_replace(Some(read));
+/// Reads the operator's file and proves it against the settings; a file at fault changes nothing.
+fn read_limits(path: &Path, site: &Site) -> Result<RuleSet> {
+    let text = std::fs::read_to_string(path).with_context(|| format!("limits '{}'", path.display()))?;
+    let (faults, read) = dunlincleat_limits::check(&text, site);
+    let (errors, warnings): (Vec<_>, Vec<_>) =
+        faults.iter().partition(|fault| fault.severity == Severity::Error);
+    for warning in warnings {
+        tracing::warn!("limits {}:{warning}", path.display());
     }
+    let Some(read) = read else {
+        let faults: Vec<String> = errors.iter().map(ToString::to_string).collect();
+        bail!("limits '{}' refused, {} faults: {}", path.display(), faults.len(), faults.join(" | "));
+    };
+    let (routes, pools) = (read.rules().count() - 1, read.pools().len());
+    tracing::info!("limits {} taken up: {routes} routes, {pools} pools", path.display());
+    Ok(read)
 }
 
 /// The list to start from: the one that was kept on disk, where that is of a later version than the one told.
--- a/crates/sidecar/tests/limits.rs
+++ b/crates/sidecar/tests/limits.rs
@@ -94,10 +94,14 @@
             let seen = sidecar.log.len();
             sidecar.signal("HUP");
             // Each is taken up or refused before the next.
-            let said = if bad { "going on with the old limits" } else { "taken up: " };
+            let said = if bad { "going on with the old configuration" } else { "taken up: " };
             let end = std::time::Instant::now() + PATIENCE;
             while !sidecar.log.all()[seen..].iter().any(|line| line.contains(said)) {
-                assert!(std::time::Instant::now() < end, "reload {n} is not told of");
+                if std::time::Instant::now() >= end {
+                    // Else the workers would ask on for good.
+                    done.store(true, Ordering::SeqCst);
+                    panic!("reload {n} is not told of");
+                }
                 std::thread::yield_now();
             }
         }
--- a/src/api.rs
+++ b/src/api.rs
@@ -89,7 +89,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time has its full worth.
     pub aim: Span,
@@ -103,6 +103,8 @@
     pub effect: Effect,
     /// The answer comes as a stream.
     pub stream: bool,
+    /// It was dropped or replaced: requests taken under it keep it, no new one comes.
+    pub retired: bool,
 }
 
 /// One tenant.
@@ -332,6 +334,11 @@
 /// What happens to an instance.
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
+    /// Other settings from here on; requests in hand keep their class and number of attempts.
+    Settings {
+        /// All of them.
+        set: &'a Settings,
+    },
     /// News of the servers.
     Members {
         /// What the entries are.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -151,6 +151,8 @@
     hint: Option<Span>,
     key: Option<u64>,
     aim: Span,
+    /// Attempts that it may have.
+    most: u32,
     arrived: Time,
     deadline: Time,
     attempts: Vec<Sent>,
@@ -249,30 +251,29 @@
 impl Balancer {
     /// A balancer that knows nothing but its settings and its seed.
     pub fn new(set: Settings, seed: u64) -> Balancer {
+        let (rng, load_limit, warm) = (Draws::new(seed), f64::MAX, (1.0, false));
+        let (busy, usual, timely, mean_size, rest) = (0.5, 0.5, 1.0, 1.0, Balancer::default());
+        let mut new = Balancer { rng, load_limit, warm, busy, usual, timely, mean_size, ..rest };
+        new.adopt(set);
+        new
+    }
+
+    /// Takes up settings. All that follows from them is derived here, at the start and later.
+    fn adopt(&mut self, set: Settings) {
         let aim = tightest_aim(&set);
         let counts = |f: &Field| matches!(f, Field::Inflight | Field::Queue);
         // What probes alone bring is as old as the report's period: asking anew brings the same again.
-        let counts_requests = set.reports == Reports::InAnswers && set.fields.iter().any(counts);
-        let tells = set.limits.peers && set.balancers > 1 && !counts_requests;
-        Balancer {
-            window: aim.times(1.0 / WINDOWS_IN_AIM).max(set.tick).min(SECOND).max(Span(1)),
-            counts_requests,
-            live: set.weights == Weights::Live,
-            tells,
-            sees_load: counts_requests || tells,
-            rng: Draws::new(seed),
-            busy: 0.5,
-            usual: 0.5,
-            turns: vec![Turn::default(); set.classes.len()],
-            timely: 1.0,
-            load_limit: f64::MAX,
-            allowed: if tells { ROOM_TOLD } else { ROOM },
-            far: 1.0 / (1.0 + set.prices.cross_zone / FAR),
-            warm: (1.0, false),
-            mean_size: 1.0,
-            set,
-            ..Balancer::default()
-        }
+        self.counts_requests = set.reports == Reports::InAnswers && set.fields.iter().any(counts);
+        self.tells = set.limits.peers && set.balancers > 1 && !self.counts_requests;
+        self.window = aim.times(1.0 / WINDOWS_IN_AIM).max(set.tick).min(SECOND).max(Span(1));
+        self.live = set.weights == Weights::Live;
+        self.sees_load = self.counts_requests || self.tells;
+        self.turns.resize(set.classes.len(), Turn::default());
+        self.allowed = if self.tells { ROOM_TOLD } else { ROOM };
+        self.far = 1.0 / (1.0 + set.prices.cross_zone / FAR);
+        let retired = set.classes.iter().zip(&mut self.turns).filter(|(class, _)| class.retired);
+        retired.for_each(|(_, turn)| *turn = Turn::default());
+        self.set = set;
     }
 
     /// Takes one event and adds what is to be done.
@@ -285,14 +286,15 @@
             self.calls.first(now, knows, &self.set, &mut self.rng.0, todo);
         }
         match event {
+            Event::Settings { set } => self.adopt(set.clone()),
             Event::Members { kind, entries } => self.on_members(now, kind, entries, todo),
             Event::Request { id, left, class, hint, key, .. } => {
                 self.asked += 1;
                 let deadline = now + left;
                 let key = key.filter(|_| self.set.warm_keys);
                 let aim = self.class(class).map_or(left, |c| c.aim);
-                self.open
-                    .insert(id, Open { class, hint, key, aim, arrived: now, deadline, ..Open::default() });
+                let (most, arrived, rest) = (self.set.limits.max_attempts, now, Open::default());
+                self.open.insert(id, Open { class, hint, key, aim, most, arrived, deadline, ..rest });
                 key.into_iter().for_each(|key| self.keys.count(key));
                 self.probe_credit += self.probes_a_request();
                 let price = self.set.prices.peer.max(PEER_SPEND / 4.0);
@@ -889,7 +891,7 @@
         let Some(class) = self.class(open.class) else { return self.give_up(id, todo) };
         let aim = open.arrived + class.aim;
         let last = if class.late_worth > 0.0 { open.deadline } else { aim.min(open.deadline) };
-        let spent = open.spent || open.attempts.len() as u32 >= self.set.limits.max_attempts;
+        let spent = open.spent || open.attempts.len() as u32 >= open.most;
         let target = if now < aim { aim.min(last) } else { last };
         let mut wanted = Wanted {
             within: target - now,
@@ -982,7 +984,8 @@
 
     /// Departure where attempts miss their aim: some requests are refused at once, the least worth first.
     fn admits(&mut self, class: u32) -> bool {
-        let mean = self.set.classes.iter().map(|c| c.worth).sum::<f64>() / self.turns.len() as f64;
+        let classes = || self.set.classes.iter().filter(|c| !c.retired);
+        let mean = classes().map(|c| c.worth).sum::<f64>() / classes().count() as f64;
         let worth = self.class(class).map_or(0.0, |c| c.worth).max(0.01 * mean);
         // Where no worth is told all are alike: 0 over 0 had nine of ten refused.
         let rank = if mean > 0.0 { mean / worth } else { 1.0 };
@@ -1050,7 +1053,7 @@
 }
 
 fn tightest_aim(set: &Settings) -> Span {
-    set.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND)
+    set.classes.iter().filter(|c| !c.retired).map(|c| c.aim).min().unwrap_or(SECOND)
 }
 
 /// A running mean in which a new value has the given weight.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -17,6 +17,7 @@
         late_worth: 0.0,
         effect,
         stream: false,
+        retired: false,
     }
 }
 
