--- a/crates/engine/src/core.rs
+++ b/crates/engine/src/core.rs
@@ -102,6 +102,26 @@
         /// How.
         ended: Ended<B>,
     },
+    /// An attempt's answer began and is passed on as it comes: it is the final one. The attempt ends later, once.
+    Began {
+        /// Of which request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: Attempt,
+        /// Where.
+        server: ServerId,
+        /// What is known of it, with the answer.
+        ended: Ended<B>,
+    },
+    /// The body of an attempt still comes, or comes no more.
+    Uploads {
+        /// Of which request.
+        id: RequestId,
+        /// Where.
+        server: ServerId,
+        /// It comes no more.
+        over: bool,
+    },
     /// A probe ended; each that was put out ends once.
     Probed {
         /// Of which server.
@@ -233,6 +253,8 @@
     attempts: Vec<ServerId>,
     ended: Vec<bool>,
     out: usize,
+    /// The attempt whose answer is being passed on.
+    passing: Option<Attempt>,
 }
 
 /// What a timer was set for.
@@ -385,8 +407,19 @@
                 let left = Span(wait.0.saturating_sub((now - received).0));
                 let (answered, attempts, ended) = (false, Vec::new(), Vec::new());
                 let most = self.max_attempts;
-                let entry =
-                    Entry { payload, wait, slot, rule, most, stand, answered, attempts, ended, out: 0 };
+                let entry = Entry {
+                    payload,
+                    wait,
+                    slot,
+                    rule,
+                    most,
+                    stand,
+                    answered,
+                    attempts,
+                    ended,
+                    out: 0,
+                    passing: None,
+                };
                 self.requests.insert(id, entry);
                 self.event(now, slot, Event::Request { id, left, class, tenant, hint, key, repeat }, out);
             }
@@ -397,8 +430,25 @@
                 }
                 self.forget(id);
             }
+            Input::Began { id, attempt, server, ended } => {
+                let Some(entry) = self.requests.get_mut(&id) else { return };
+                // For the module the attempt is over with the first bytes: what follows says nothing of the server's
+                // turn. Here it stays out until its transport is done, and is not called off by its own answer.
+                entry.passing = Some(attempt);
+                entry.out += 1;
+                self.ended(now, id, attempt, server, ended, out);
+            }
+            Input::Uploads { id, server, over } => {
+                if let Some(slot) = self.requests.get(&id).map(|entry| entry.slot) {
+                    self.event(now, slot, Event::Uploads { id, server, over }, out);
+                }
+            }
             Input::Ended { id, attempt, server, ended } => {
                 self.places.returned(now, server, ended.status);
+                if let Some(entry) = self.requests.get_mut(&id).filter(|e| e.passing == Some(attempt)) {
+                    entry.out = entry.out.saturating_sub(1);
+                    return self.forget(id);
+                }
                 self.ended(now, id, attempt, server, ended, out);
             }
             Input::Probed { server, asked, ended } => {
--- a/crates/engine/src/shell.rs
+++ b/crates/engine/src/shell.rs
@@ -113,6 +113,16 @@
         self.tell(Msg::Input(Input::Ended { id, attempt, server, ended }));
     }
 
+    /// An attempt's answer began and is passed on; the attempt ends later.
+    pub fn began(&self, id: RequestId, attempt: Attempt, server: ServerId, ended: Ended<B>) {
+        self.tell(Msg::Input(Input::Began { id, attempt, server, ended }));
+    }
+
+    /// The body of an attempt still comes, or comes no more: each beginning is followed by one end, before the attempt's.
+    pub fn uploads(&self, id: RequestId, server: ServerId, over: bool) {
+        self.tell(Msg::Input(Input::Uploads { id, server, over }));
+    }
+
     /// A probe ended.
     pub fn probed(&self, server: ServerId, asked: SlotId, ended: Ended<B>) {
         self.tell(Msg::Input(Input::Probed { server, asked, ended }));
@@ -242,15 +252,17 @@
 
     fn input(&mut self, input: Input<T::Payload, T::Body>) {
         match &input {
-            Input::Ended { id, attempt, server, ended } => tracing::debug!(
-                "attempt {} of request {} at {}: {:?} after {} us, load {:?}",
-                attempt.0,
-                id.0,
-                self.engine.places().uid(*server),
-                ended.status,
-                ended.latency.0,
-                ended.load
-            ),
+            Input::Began { id, attempt, server, ended } | Input::Ended { id, attempt, server, ended } => {
+                tracing::debug!(
+                    "attempt {} of request {} at {}: {:?} after {} us, load {:?}",
+                    attempt.0,
+                    id.0,
+                    self.engine.places().uid(*server),
+                    ended.status,
+                    ended.latency.0,
+                    ended.load
+                )
+            }
             Input::Listed(delivery) => {
                 let count = |state| delivery.entries.iter().filter(|e| e.state == state).count();
                 tracing::info!(
@@ -269,6 +281,7 @@
             }
             Input::Request { .. }
             | Input::Gone(_)
+            | Input::Uploads { .. }
             | Input::Probed { .. }
             | Input::ListFailed
             | Input::Settings(_)
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -170,7 +170,11 @@
                 self.seen.insert(id, Seen::default());
                 self.balancer.on_event(now, event, own);
             }
-            Event::Gone { .. } | Event::First { .. } | Event::Copy { .. } | Event::Peer { .. } => {
+            Event::Gone { .. }
+            | Event::First { .. }
+            | Event::Uploads { .. }
+            | Event::Copy { .. }
+            | Event::Peer { .. } => {
                 self.balancer.on_event(now, event, own);
             }
         }
--- a/crates/fleet/src/baseline.rs
+++ b/crates/fleet/src/baseline.rs
@@ -179,8 +179,10 @@
                     }
                 }
             }
-            // A day has one set of settings.
-            Input::Probed { .. }
+            // A day has one set of settings, and its answers come whole.
+            Input::Began { .. }
+            | Input::Uploads { .. }
+            | Input::Probed { .. }
             | Input::ListFailed
             | Input::Settings(_)
             | Input::Watched(_)
--- a/crates/http/src/frame.rs
+++ b/crates/http/src/frame.rs
@@ -1,12 +1,17 @@
 //! Where a server's answer begins and ends. awc reads answers, but it takes a 1xx answer for the final one,
-//! waits for whatever length it is told, and drops bytes that come behind an answer with its buffer. So what a
-//! connection brings is framed here first: awc sees one final answer within the bound, or an error.
+//! reads no answer that lasts until its connection ends, and drops bytes that come behind an answer with its buffer. So
+//! what a connection brings is framed here first: awc sees one final answer, or an error. Nothing is held for its length:
+//! what has come is handed on before more is read.
 
 use bytes::{Buf, BytesMut};
 use httparse::Status::{Complete, Partial};
 
 /// The longest head of an answer, and of a chunk with its trailers.
 const HEAD_BYTES: usize = 16 * 1024;
+/// The version whose answers last until the end of their connection.
+const VERSION: &[u8; 8] = b"HTTP/1.0";
+/// What is read at once.
+const ROOM: usize = 16 * 1024;
 /// The most headers of an answer.
 const HEADERS: usize = 64;
 /// The most 1xx answers ahead of the final one.
@@ -29,11 +34,13 @@
 enum Next {
     Head,
     /// So many bytes of a body, then its end.
-    Body(usize),
+    Body(u64),
+    /// A body that lasts until the connection ends.
+    Rest,
     /// The size of a chunk.
     Size,
     /// So many bytes of a chunk, then the line end behind it.
-    Chunk(usize),
+    Chunk(u64),
     ChunkEnd,
     Trailers,
     Nothing,
@@ -42,11 +49,8 @@
 /// Frames the answers of one connection, one answer a request.
 #[derive(Debug)]
 pub struct Frame {
-    /// The largest body.
-    most: usize,
     next: Next,
     hints: usize,
-    body: usize,
     /// What came and is not framed yet.
     held: BytesMut,
     /// What awc may read.
@@ -54,15 +58,15 @@
 }
 
 impl Frame {
-    /// A connection whose answers have bodies of at most so many bytes.
-    pub fn new(most: usize) -> Frame {
+    /// A connection on which nothing is due yet.
+    pub fn new() -> Frame {
         let (held, ready) = (BytesMut::new(), BytesMut::new());
-        Frame { most, next: Next::Nothing, hints: 0, body: 0, held, ready }
+        Frame { next: Next::Nothing, hints: 0, held, ready }
     }
 
     /// A request goes out: its answer is due.
     pub fn expect(&mut self) {
-        (self.next, self.hints, self.body) = (Next::Head, 0, 0);
+        (self.next, self.hints) = (Next::Head, 0);
     }
 
     /// The answer has come to its end.
@@ -74,11 +78,22 @@
     pub fn begun(&self) -> bool {
         match self.next {
             Next::Head => !self.held.is_empty(),
-            Next::Body(_) | Next::Size | Next::Chunk(_) | Next::ChunkEnd | Next::Trailers => true,
+            Next::Body(_) | Next::Rest | Next::Size | Next::Chunk(_) | Next::ChunkEnd | Next::Trailers => {
+                true
+            }
             Next::Nothing => false,
         }
     }
 
+    /// The connection ended: where the body lasts until then, it is whole. Tells whether that was its end.
+    pub fn end(&mut self) -> bool {
+        let lasts = self.next == Next::Rest;
+        if lasts {
+            self.next = Next::Nothing;
+        }
+        lasts
+    }
+
     /// Bytes came that belong to no answer.
     pub fn stray(&self) -> bool {
         self.whole() && !self.held.is_empty()
@@ -86,7 +101,7 @@
 
     /// Where bytes from the connection go.
     pub fn room(&mut self) -> &mut BytesMut {
-        self.held.reserve(4096);
+        self.held.reserve(ROOM);
         &mut self.held
     }
 
@@ -102,6 +117,7 @@
                 Next::Head => self.head()?,
                 Next::Body(0) => Some(Next::Nothing),
                 Next::Body(left) => self.pass(left).map(Next::Body),
+                Next::Rest => self.pass(u64::MAX).map(|_| Next::Rest),
                 Next::Size => self.size()?,
                 Next::Chunk(0) => Some(Next::ChunkEnd),
                 Next::Chunk(left) => self.pass(left).map(Next::Chunk),
@@ -117,15 +133,15 @@
     }
 
     /// Hands on up to so many bytes; tells how many are left, or nothing where none came.
-    fn pass(&mut self, left: usize) -> Option<usize> {
-        let come = left.min(self.held.len());
-        self.ready.extend_from_slice(&self.held[..come]);
-        self.held.advance(come);
-        (come > 0).then_some(left - come)
+    fn pass(&mut self, left: u64) -> Option<u64> {
+        let come = usize::try_from(left).unwrap_or(usize::MAX).min(self.held.len());
+        self.pass_all(come);
+        (come > 0).then_some(left - come as u64)
     }
 
     fn pass_all(&mut self, count: usize) {
-        self.pass(count);
+        self.ready.extend_from_slice(&self.held[..count]);
+        self.held.advance(count);
     }
 
     fn partial(&self, what: &'static str) -> Result<Option<Next>, Spoilt> {
@@ -150,10 +166,12 @@
             return Ok(Some(Next::Head));
         }
         let next = body(answer.headers, status)?;
-        if matches!(next, Next::Body(length) if length > self.most) {
-            return Err(Spoilt("its body is too long"));
-        }
         self.pass_all(length);
+        if next == Next::Rest {
+            // awc reads until the end for HTTP/1.0 alone: there it is the rule. The version stands at the head's start.
+            let at = self.ready.len() - length;
+            self.ready[at..at + VERSION.len()].copy_from_slice(VERSION);
+        }
         Ok(Some(next))
     }
 
@@ -163,11 +181,6 @@
             Ok(Partial) => return self.partial("the size of a chunk does not end"),
             Err(_) => return Err(Spoilt("the size of a chunk can't be read")),
         };
-        let size = usize::try_from(size).unwrap_or(usize::MAX);
-        self.body = self.body.saturating_add(size);
-        if self.body > self.most {
-            return Err(Spoilt("its body is too long"));
-        }
         self.pass_all(line);
         Ok(Some(if size == 0 { Next::Trailers } else { Next::Chunk(size) }))
     }
@@ -196,8 +209,8 @@
     }
 }
 
-/// What body follows a head. A length must be told, once, in digits: an answer that lasts until its connection
-/// ends cannot be told from half of one.
+/// What body follows a head. A length is told once, in digits. Without one the body lasts until the connection ends,
+/// and only a reset shows that it broke off.
 fn body(headers: &[httparse::Header<'_>], status: u16) -> Result<Next, Spoilt> {
     let named = |name: &'static str| headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name));
     let mut codings = named("transfer-encoding");
@@ -209,6 +222,7 @@
             length.map(Next::Body).ok_or(Spoilt("its length can't be read"))
         }
         (None, None, None, None) if matches!(status, 204 | 304) => Ok(Next::Nothing),
+        (None, None, None, None) => Ok(Next::Rest),
         _ => Err(Spoilt("its length is in doubt")),
     }
 }
@@ -219,7 +233,7 @@
 
     /// Frames an answer that comes in pieces of so many bytes; gives what awc would read.
     fn read(answer: &str, piece: usize) -> (Result<String, Spoilt>, Frame) {
-        let mut frame = Frame::new(100);
+        let mut frame = Frame::new();
         frame.expect();
         for bytes in answer.as_bytes().chunks(piece) {
             frame.room().extend_from_slice(bytes);
@@ -258,6 +272,18 @@
         assert!(read("HTTP/1.1 101 Switching Protocols\r\n\r\n", 1000).0.is_err());
     }
 
+    #[test]
+    fn an_answer_without_a_length_lasts_until_its_connection_ends() {
+        let answer = "HTTP/1.1 200 OK\r\nX: y\r\n\r\nwhatever comes";
+        for piece in [1, 7, 1000] {
+            let (read, mut frame) = read(answer, piece);
+            assert_eq!(read.as_deref(), Ok(answer.replace("1.1", "1.0").as_str()));
+            assert!(!frame.whole() && frame.end() && frame.whole());
+        }
+        let (_, mut half) = read("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhell", 1000);
+        assert!(!half.end() && !half.whole(), "a length is a promise");
+    }
+
     #[test]
     fn bytes_behind_an_answer_are_seen_and_not_passed_on() {
         let answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
@@ -288,9 +314,6 @@
             "HTTP/1.1 2x0 OK\r\n\r\n".to_owned(),
             "HTTP/1.1 200 OK\r\nno colon\r\n\r\n".to_owned(),
             format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(HEAD_BYTES)),
-            head("X: no length"),
-            head("Content-Length: 3000000000"),
-            head("Content-Length: 101"),
             head("Content-Length: -1"),
             head("Content-Length: +1"),
             head("Content-Length: 1x"),
@@ -302,9 +325,7 @@
             head("Transfer-Encoding: gzip, chunked"),
             head(chunked) + "zz\r\n",
             head(chunked) + "ffffffffffffffffff\r\n",
-            head(chunked) + "65\r\n",
             head(chunked) + "1\r\nxyz",
-            head(chunked) + "1\r\nx\r\n64\r\n",
             head(chunked) + &"1;".repeat(HEAD_BYTES),
         ] {
             assert!(read(&answer, 5).0.is_err(), "{answer:.80}");
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -1,13 +1,14 @@
 //! The server that the application speaks to: it accepts connections, takes requests, and gives each exactly
 //! one answer.
 
-use crate::message::{HEALTH, Malformed, Request, class_of, encode, read_body};
+use crate::message::{Body, HEALTH, Malformed, Parts, Request, Rest, class_of, encode, read_body};
 use crate::own::Own;
 use crate::seldom::{Seldom, seldom};
 use crate::{Answer, Handle};
-use actix_http::error::DispatchError;
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::error::{DispatchError, PayloadError};
 use actix_http::header::HeaderValue;
-use actix_http::{HttpService, KeepAlive, Method, Response, StatusCode};
+use actix_http::{HttpService, KeepAlive, Method, Payload, Response, StatusCode};
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory, fn_service};
 use anyhow::{Context as _, Result, anyhow};
@@ -18,6 +19,8 @@
 use dunlincleat_status::lifecycle;
 use dunlincleat_status::metrics::{Ends, InProgress};
 use dunlincleat_status::{Lifecycle, Metrics, Stage};
+use futures_util::StreamExt;
+use futures_util::stream::{self, LocalBoxStream};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -27,12 +30,12 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot, watch};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Connections beyond the bound that are still taken, to be told so.
 const OVER: usize = 16;
@@ -43,6 +46,10 @@
 const SPARE_SILENT: Duration = Duration::from_millis(200);
 /// What is read of a client that sends on while its request is in hand or after it was turned away.
 const SURPLUS: usize = 64 * 1024;
+/// Bytes a second that a client sends of a body at the least: half of what honest slow ones manage.
+const PACE: f64 = 32.0 * 1024.0;
+/// How long a client may stand still in the middle of a body that goes on to a server.
+const UPLOAD_STALL: Duration = Duration::from_secs(5);
 /// How long a client that was turned away may send on.
 const DRAIN: Duration = Duration::from_secs(1);
 
@@ -241,27 +248,29 @@
 }
 
 /// Takes one request and waits for its answer.
-async fn handle(front: Rc<Front>, mut request: actix_http::Request) -> Result<Response<Bytes>, Infallible> {
-    let received = Instant::now();
+async fn handle(front: Rc<Front>, mut request: actix_http::Request) -> Result<Response<BoxBody>, Infallible> {
     let state = request.conn_data::<Rc<ClientState>>().cloned();
     let over = state.as_ref().is_some_and(|state| state.over);
     // A client that was turned away is told to close: what it sent ahead is not worth more work.
     let mut turned_away = false;
+    let mut passes_on = false;
     // Under the settings that it came under: its class may be dropped meanwhile.
     let ends = front.ends(request.path());
     let mut response = if request.method() == Method::GET && request.path() == HEALTH {
         match front.stage.borrow().ready() {
-            true => Response::with_body(StatusCode::OK, Bytes::from_static(b"ok\n")),
-            false => Response::with_body(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"no\n")),
+            true => Response::with_body(StatusCode::OK, BoxBody::new("ok\n")),
+            false => Response::with_body(StatusCode::SERVICE_UNAVAILABLE, BoxBody::new("no\n")),
         }
     } else if over {
         seldom!(front.full, warn, Crowd(&front.clients));
         ends.dropped.count();
         encode(Answer::Refused { retry_after: None })
     } else {
-        match front.take(&mut request, state.as_deref(), received).await {
+        match front.take(&mut request, state.as_ref()).await {
             Ok(answer) => {
-                match answer {
+                match &answer {
+                    // Counted when it has come to its end.
+                    Answer::Served(Body { parts: Parts::Passing { .. }, .. }) => passes_on = true,
                     Answer::Served(_) => ends.passed.count(),
                     Answer::Refused { .. } => ends.dropped.count(),
                     Answer::Failed => ends.failed.count(),
@@ -269,7 +278,9 @@
                 encode(answer)
             }
             Err(malformed) => {
-                ends.failed.count();
+                if malformed.taken {
+                    ends.failed.count();
+                }
                 let line = format!("request not taken: {} ({})", malformed.what, malformed.status.as_u16());
                 seldom!(front.malformed, info, line);
                 turned_away = true;
@@ -284,12 +295,78 @@
         // It ends once the answer is written; nothing else may end it before.
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
     }
+    let then = if close { Phase::Draining } else { Phase::Idle };
+    if passes_on {
+        let counted = front.metrics.taken();
+        let finish = Finish { state, then, ends, whole: false, _counted: counted };
+        return Ok(response.map_body(|_, body| BoxBody::new(PassedOn { body, finish })));
+    }
     if let Some(state) = state {
-        state.enter(if close { Phase::Draining } else { Phase::Idle });
+        state.enter(then);
     }
     Ok(response)
 }
 
+/// The rest of a request's body, as it comes; a client that stops in the middle has gone.
+fn uploading(
+    payload: Payload,
+    state: Option<Rc<ClientState>>,
+) -> LocalBoxStream<'static, Result<Bytes, PayloadError>> {
+    let parts = stream::unfold((payload, state), |(mut payload, state)| async move {
+        let part = timeout(UPLOAD_STALL, payload.next()).await;
+        let part = part.unwrap_or_else(|_| Some(Err(PayloadError::Incomplete(None))));
+        if part.is_none()
+            && let Some(state) = state.as_ref().filter(|state| state.phase.get() == Phase::Body)
+        {
+            state.enter(Phase::InHand);
+        }
+        part.map(|part| (part, (payload, state)))
+    });
+    parts.boxed_local()
+}
+
+/// An answer that is passed on as it comes, to its end.
+struct PassedOn {
+    body: BoxBody,
+    finish: Finish,
+}
+
+impl MessageBody for PassedOn {
+    type Error = Box<dyn std::error::Error>;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        let part = ready!(Pin::new(&mut self.body).poll_next(cx));
+        self.finish.whole |= part.is_none();
+        Poll::Ready(part)
+    }
+}
+
+/// The end of an answer that is passed on: counted, and its connection's next phase begun, when this is dropped.
+struct Finish {
+    state: Option<Rc<ClientState>>,
+    then: Phase,
+    ends: Arc<Ends>,
+    whole: bool,
+    _counted: InProgress,
+}
+
+impl Drop for Finish {
+    fn drop(&mut self) {
+        if self.whole {
+            self.ends.passed.count()
+        } else {
+            self.ends.failed.count()
+        }
+        if let Some(state) = &self.state {
+            state.enter(self.then);
+        }
+    }
+}
+
 impl Front {
     /// Where the final answer to a request of the class that its path names is counted; one that names none is
     /// counted nowhere.
@@ -302,20 +379,26 @@
     async fn take(
         &self,
         request: &mut actix_http::Request,
-        state: Option<&ClientState>,
-        received: Instant,
+        state: Option<&Rc<ClientState>>,
     ) -> Result<Answer, Malformed> {
         let in_force = self.in_force.borrow().clone();
         let (site, rules) = (&in_force.site, in_force.rules.as_deref());
-        let decoded = Request::decode(request.head(), site, rules, self.own.body_bytes)?;
-        let body = read_body(&mut request.take_payload(), self.own.body_bytes).await?;
+        let decoded = Request::decode(request.head(), site, rules)?;
+        let length = Request::length(request.head());
+        state.into_iter().for_each(|state| state.enter(Phase::Body));
+        let mut payload = request.take_payload();
+        let (body, whole) = read_body(&mut payload, self.own.body_bytes).await?;
         let Ok(permit) = self.requests.clone().try_acquire_owned() else {
             seldom!(self.full, warn, "request refused: the bound on requests in hand is reached");
             return Ok(Answer::Refused { retry_after: None });
         };
         // A copy of a request in hand, whoever sends it, would be a second run of it.
         if !self.ids.borrow_mut().insert(decoded.id.clone()) {
-            return Err(Malformed { status: StatusCode::CONFLICT, what: "X-Request-ID is in use" });
+            return Err(Malformed {
+                status: StatusCode::CONFLICT,
+                what: "X-Request-ID is in use",
+                taken: whole,
+            });
         }
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (slot, answer) = oneshot::channel();
@@ -329,9 +412,23 @@
             _permit: permit,
             _counted: self.metrics.taken(),
         };
-        state.into_iter().for_each(|state| state.enter(Phase::InHand));
+        // Up to the bound a body is held, so that it can be sent again; of a longer one the rest goes to one server as it
+        // comes.
+        let rest = match state {
+            Some(state) if whole => {
+                state.enter(Phase::InHand);
+                None
+            }
+            None if whole => None,
+            state => {
+                state.into_iter().for_each(|state| state.uploads.set(true));
+                Some(Rest { parts: uploading(payload, state.cloned()), length })
+            }
+        };
+        // Its time counts from its last byte: a slow body once left none for the servers.
+        let received = Instant::now();
         let ask = decoded.ask.clone();
-        self.engine.request(id, ask, Rc::new(decoded.with_body(body)), received, slot);
+        self.engine.request(id, ask, Rc::new(decoded.with_body(body, rest)), received, slot);
         let answer = answer.await;
         taken.answered = true;
         Ok(answer.unwrap_or_else(|_| {
@@ -366,8 +463,10 @@
 enum Phase {
     /// Nothing has come on it yet.
     Silent,
-    /// A request has begun and is not whole.
+    /// A request has begun, and its head is not whole.
     Reading,
+    /// Its body comes.
+    Body,
     /// A request is in the engine's hands: nothing here ends it.
     InHand,
     /// The last request was answered and no byte has come since.
@@ -378,14 +477,15 @@
 
 /// What is known of a client's connection.
 struct ClientState {
-    accepted: Instant,
     phase: Cell<Phase>,
     /// Since when it counts against the time that the phase has.
     since: Cell<Instant>,
     /// It ends as soon as nothing more can be read.
     closing: Cell<bool>,
-    /// Bytes read while a request was in hand, or while draining.
+    /// Bytes read of a body, while a request was in hand, or while draining.
     surplus: Cell<usize>,
+    /// The body goes on to a server as it comes: its pace is the server's too.
+    uploads: Cell<bool>,
     /// It is one too many.
     over: bool,
     /// Has the connection polled once more.
@@ -394,26 +494,24 @@
 
 impl ClientState {
     fn new(over: bool) -> ClientState {
-        let accepted = Instant::now();
         ClientState {
-            accepted,
             phase: Cell::new(Phase::Silent),
-            since: Cell::new(accepted),
+            since: Cell::new(Instant::now()),
             closing: Cell::new(false),
             surplus: Cell::new(0),
+            uploads: Cell::new(false),
             over,
             wake: Notify::new(),
         }
     }
 
     fn enter(&self, phase: Phase) {
-        // The first request is due from the accepting on: a client must not stay silent first, then slow.
-        let first = (self.phase.get(), phase) == (Phase::Silent, Phase::Reading);
-        self.since.set(if first { self.accepted } else { Instant::now() });
+        self.since.set(Instant::now());
         if self.surplus.replace(0) >= SURPLUS {
             self.wake.notify_one();
         }
         self.closing.set(false);
+        self.uploads.set(false);
         self.phase.set(phase);
     }
 
@@ -424,6 +522,8 @@
             Phase::Idle if stage == Stage::Emptying => Duration::ZERO,
             Phase::Silent if stage == Stage::Emptying => SILENT,
             Phase::Silent | Phase::Reading => own.client_request,
+            Phase::Body if self.uploads.get() => return None,
+            Phase::Body => own.client_request + self.earned(),
             Phase::InHand => return None,
             Phase::Idle => own.client_idle,
             Phase::Draining => DRAIN,
@@ -431,6 +531,11 @@
         Some(self.since.get() + time)
     }
 
+    /// The time that what came of a body pays for: a slow client that goes on is an honest one.
+    fn earned(&self) -> Duration {
+        Duration::from_secs_f64(self.surplus.get() as f64 / PACE)
+    }
+
     fn close(&self) {
         self.closing.set(true);
         self.wake.notify_one();
@@ -442,7 +547,10 @@
         let spare = match self.phase.get() {
             Phase::Idle => (age >= SPARE_IDLE).then_some((true, age)),
             Phase::Silent | Phase::Reading => (age >= SPARE_SILENT).then_some((false, age)),
-            Phase::InHand | Phase::Draining => None,
+            Phase::Body if !self.uploads.get() => {
+                (age >= SPARE_SILENT + self.earned()).then_some((false, age))
+            }
+            Phase::Body | Phase::InHand | Phase::Draining => None,
         };
         spare.filter(|_| !self.closing.get())
     }
@@ -492,7 +600,7 @@
             "request refused: the bound on client connections is reached: {} silent, {} sending, {} in hand, \
              {} idle, {} ending",
             count(Phase::Silent),
-            count(Phase::Reading),
+            count(Phase::Reading) + count(Phase::Body),
             count(Phase::InHand),
             count(Phase::Idle),
             count(Phase::Draining)
@@ -530,21 +638,21 @@
             // is in hand. Once that is answered, `enter` has the connection polled again.
             Phase::InHand if state.surplus.get() >= SURPLUS => return Poll::Pending,
             Phase::Draining if state.surplus.get() >= SURPLUS => return Poll::Ready(Ok(())),
-            Phase::Silent | Phase::Reading | Phase::InHand | Phase::Idle | Phase::Draining => {}
+            Phase::Silent | Phase::Reading | Phase::Body | Phase::InHand | Phase::Idle | Phase::Draining => {}
         }
         let before = buf.filled().len();
         let result = Pin::new(&mut this.stream).poll_read(cx, buf);
         let came = buf.filled().len() - before;
         match state.phase.get() {
             Phase::Silent | Phase::Idle if came > 0 => state.enter(Phase::Reading),
-            Phase::InHand | Phase::Draining => state.surplus.set(state.surplus.get() + came),
+            Phase::Body | Phase::InHand | Phase::Draining => state.surplus.set(state.surplus.get() + came),
             Phase::Silent | Phase::Idle | Phase::Reading => {}
         }
         // A connection is closed only after its last byte was read: a request that crosses that is served,
         // not lost.
         let closing = match state.phase.get() {
             Phase::Silent | Phase::Idle => state.closing.get() || *this.stage.borrow() == Stage::Closing,
-            Phase::Reading | Phase::Draining => state.closing.get(),
+            Phase::Reading | Phase::Body | Phase::Draining => state.closing.get(),
             Phase::InHand => false,
         };
         if result.is_pending() && closing { Poll::Ready(Ok(())) } else { result }
--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -26,6 +26,9 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, Sleep, sleep_until};
 
+/// How long a server may stand still in the middle of an answer that is being passed on.
+const STREAM_STALL: Duration = Duration::from_secs(10);
+
 /// Why nothing was sent, for a reason that lies here and not with the server.
 #[derive(Debug)]
 pub struct Unsent(pub &'static str);
@@ -53,10 +56,14 @@
     sent: Cell<usize>,
     /// How far the present attempt is written; none for a probe.
     written: Cell<Option<Written>>,
+    /// Of a body whose length nobody told nothing more comes.
+    last: Cell<bool>,
     /// The answer came to its end.
     whole: Cell<bool>,
     /// Why it is of no use.
     spoilt: Cell<Option<Spoilt>>,
+    /// The answer is being passed on: what was begun may stand still for longer.
+    passed_on: Cell<bool>,
     /// The present request was taken back before it began.
     withdrawn: Cell<bool>,
     /// Bytes came that belong to no answer: what comes next could be read as another request's answer.
@@ -64,12 +71,14 @@
 }
 
 impl Wire {
-    /// Begins a new attempt with a body of so many bytes, or a probe.
-    pub fn begin(&self, attempt: Option<usize>) {
+    /// Begins a new attempt, or a probe.
+    pub fn begin(&self, attempt: Option<Written>) {
         self.sent.set(0);
-        self.written.set(attempt.map(Written::new));
+        self.last.set(false);
+        self.written.set(attempt);
         self.withdrawn.set(false);
         self.whole.set(false);
+        self.passed_on.set(false);
         self.spoilt.set(None);
     }
 
@@ -78,6 +87,16 @@
         self.sent.get() == 0
     }
 
+    /// The answer is passed on as it comes from here on.
+    pub fn pass_on(&self) {
+        self.passed_on.set(true);
+    }
+
+    /// The last byte of a body whose length nobody told has been handed to awc.
+    pub fn last(&self) {
+        self.last.set(true);
+    }
+
     /// Takes the present request back, which has not begun.
     pub fn withdraw(&self) {
         self.withdrawn.set(true);
@@ -118,9 +137,10 @@
         false
     }
 
-    /// This status where anything was sent, else the one that says that nothing can have run.
+    /// This status where the request was written to its last byte, else the one that says that nothing can have run.
     pub fn unless_sent(&self, status: Status) -> Status {
-        if self.sent.get() == 0 { Status::ConnectFailed } else { status }
+        let whole = self.sent.get() > 0 && self.written.get().is_none_or(|written| written.whole());
+        if whole { status } else { Status::ConnectFailed }
     }
 }
 
@@ -209,11 +229,11 @@
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
             let stream = Rc::new(stream);
             *dial.wire.stream.borrow_mut() = Rc::downgrade(&stream);
-            let frame = Frame::new(dial.means.own.body_bytes);
+            let frame = Frame::new();
             let io = ServerIo {
                 stream,
                 frame,
-                heard: Instant::now(),
+                waits: None,
                 timer: None,
                 stall: dial.means.own.answer_stall,
                 gate: dial.gate,
@@ -230,8 +250,8 @@
 struct ServerIo {
     stream: Rc<TcpStream>,
     frame: Frame,
-    /// When the last byte of the answer came, and the timer for the next where it comes in pieces.
-    heard: Instant,
+    /// Since when the next byte of an answer that began is waited for, and the timer for it.
+    waits: Option<Instant>,
     timer: Option<Pin<Box<Sleep>>>,
     stall: Duration,
     gate: Rc<Gate>,
@@ -258,7 +278,8 @@
         if !self.frame.begun() {
             return Poll::Pending;
         }
-        let due = self.heard + self.stall;
+        let stall = if self.wire.passed_on.get() { STREAM_STALL } else { self.stall };
+        let due = *self.waits.get_or_insert_with(Instant::now) + stall;
         let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(due)));
         if timer.deadline() != due {
             timer.as_mut().reset(due);
@@ -289,8 +310,13 @@
             match this.stream.try_read_buf(this.frame.room()) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
                 Err(error) => return Poll::Ready(Err(error)),
-                Ok(0) => return Poll::Ready(Ok(())),
-                Ok(_) => this.heard = Instant::now(),
+                Ok(0) => {
+                    if this.frame.end() {
+                        this.wire.whole.set(true);
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Ok(_) => this.waits = None,
             }
             if let Err(spoilt) = this.frame.advance() {
                 return this.spoil(spoilt);
@@ -320,7 +346,7 @@
                 Ok(n) => {
                     self.wire.sent.set(self.wire.sent.get() + n);
                     if let Some(mut written) = self.wire.written.get() {
-                        if written.more(&buf[..n]) {
+                        if written.more(&buf[..n], self.wire.last.get()) {
                             self.metrics.tries.count();
                         }
                         self.wire.written.set(Some(written));
--- a/crates/http/src/list.rs
+++ b/crates/http/src/list.rs
@@ -212,10 +212,12 @@
             Ask::After(rev) => rev,
             Ask::Whole | Ask::Check => {
                 let mut answer = call(client, list_uri(at)).await?;
-                let body = read_body(&mut answer, LINE_BYTES).await.map_err(|cut| match cut {
-                    Cut::Broken => Cause::Broke("within the whole list".to_owned()),
-                    Cut::TooLong => Cause::TooLong,
-                })?;
+                let (body, whole) = read_body(&mut answer, LINE_BYTES)
+                    .await
+                    .map_err(|Cut::Broken| Cause::Broke("within the whole list".to_owned()))?;
+                if !whole {
+                    return Err(Cause::TooLong);
+                }
                 let listing = Listing { whole: true, ..decode(&body)? };
                 let rev = listing.rev;
                 tell(heard, Input::Line(watch, Some(listing))).await?;
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -1,6 +1,8 @@
 //! The protocol's messages: headers and bodies are decoded once into small typed values, and encoded once.
 
 use crate::Answer;
+use actix_http::body::{BodySize, BodyStream, BoxBody, MessageBody, SizedStream};
+use actix_http::error::PayloadError;
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, Response, StatusCode};
 use awc::http::Uri;
@@ -9,10 +11,16 @@
 use dunlincleat_engine::Ask;
 use dunlincleat_limits::{Facts, RuleSet};
 use dunlincleat_settings::{Site, common_name};
+use futures_util::stream::{LocalBoxStream, once};
 use futures_util::{Stream, StreamExt};
 use serde_json::Value;
+use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
+use tokio::sync::mpsc;
 
 /// Where clients ask whether the sidecar serves, and sidecars whether a server does.
 pub const HEALTH: &str = "/healthz";
@@ -39,19 +47,51 @@
     key: Option<HeaderValue>,
     content_type: Option<HeaderValue>,
     body: Bytes,
+    /// What follows the bytes held, where the body is passed on as it comes. Only one attempt can have it.
+    rest: RefCell<Option<Rest>>,
     /// What the engine is told of it.
     pub ask: Ask,
 }
 
 /// A server's answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Body {
     /// As the server sent it.
-    pub body: Bytes,
+    pub parts: Parts,
     /// What it says the body is.
     pub content_type: Option<HeaderValue>,
 }
 
+/// The bytes of an answer.
+pub enum Parts {
+    /// All of them.
+    Whole(Bytes),
+    /// What came first; the rest is passed on as it comes.
+    Passing {
+        /// The first bytes.
+        first: Bytes,
+        /// What follows; an end without the last word is one that broke off.
+        rest: mpsc::Receiver<Part>,
+        /// How long it is in all, where that was told.
+        length: Option<u64>,
+    },
+}
+
+/// A part of an answer that is passed on.
+pub enum Part {
+    /// Bytes.
+    Bytes(Bytes),
+    /// It came to its end.
+    End,
+}
+
+/// The part of a request's body that has not come yet.
+pub struct Rest {
+    /// Where it comes from.
+    pub parts: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
+    /// How long the whole body is, where that was told.
+    pub length: Option<u64>,
+}
+
 /// Why a request was not taken.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Malformed {
@@ -59,25 +99,20 @@
     pub status: StatusCode,
     /// What was wrong, for the body of the answer.
     pub what: &'static str,
+    /// Its last byte came: it counts as one that failed.
+    pub taken: bool,
 }
 
 impl Request {
     /// Reads a request's head; the body is added by `with_body`.
-    pub fn decode(
-        head: &RequestHead,
-        site: &Site,
-        rules: Option<&RuleSet>,
-        most: usize,
-    ) -> Result<Request, Malformed> {
-        let bad = |what| Malformed { status: StatusCode::BAD_REQUEST, what };
-        // Told from the head alone: a body that will not be read is not waited for either.
-        let length = text(&head.headers, &header::CONTENT_LENGTH).and_then(|l| l.parse::<u64>().ok());
-        if length.is_some_and(|length| length > most as u64) {
-            return Err(Cut::TooLong.into());
-        }
+    pub fn decode(head: &RequestHead, site: &Site, rules: Option<&RuleSet>) -> Result<Request, Malformed> {
+        let bad = |what| Malformed { status: StatusCode::BAD_REQUEST, what, taken: true };
         let path = head.uri.path();
-        let class =
-            class_of(path, site).ok_or(Malformed { status: StatusCode::NOT_FOUND, what: "no such class" })?;
+        let class = class_of(path, site).ok_or(Malformed {
+            status: StatusCode::NOT_FOUND,
+            what: "no such class",
+            taken: true,
+        })?;
         let settings = &site.settings.classes[class];
         let key = head.headers.get(&KEY).cloned();
         let method = match settings.effect {
@@ -86,7 +121,7 @@
         };
         if head.method != method {
             let status = StatusCode::METHOD_NOT_ALLOWED;
-            return Err(Malformed { status, what: "the class is not asked for by this method" });
+            return Err(Malformed { status, what: "the class is not asked for by this method", taken: true });
         }
         if matches!(settings.effect, Effect::Keyed { .. }) && key.is_none() {
             return Err(bad("Idempotency-Key is missing"));
@@ -130,23 +165,40 @@
             key,
             content_type: head.headers.get(header::CONTENT_TYPE).cloned(),
             body: Bytes::new(),
+            rest: RefCell::default(),
             ask,
         })
     }
 
     /// The same with its body.
-    pub fn with_body(mut self, body: Bytes) -> Request {
-        self.body = body;
+    pub fn with_body(mut self, body: Bytes, rest: Option<Rest>) -> Request {
+        (self.body, self.rest) = (body, RefCell::new(rest));
         self
     }
 
-    /// The length of its body, in bytes.
-    pub fn body_bytes(&self) -> usize {
-        self.body.len()
+    /// What has not come of its body yet; the first attempt that asks has it, and none where it is whole.
+    pub fn rest(&self) -> Option<Rest> {
+        self.rest.borrow_mut().take()
     }
 
-    /// Encodes it for a server; `left` is how long the sidecar will wait.
-    pub fn encode(&self, client: &awc::Client, server: SocketAddr, left: Duration) -> awc::SendClientRequest {
+    /// The bytes of its body that are held.
+    pub fn held(&self) -> &Bytes {
+        &self.body
+    }
+
+    /// The length of its body, in bytes, as the head told it.
+    pub fn length(head: &RequestHead) -> Option<u64> {
+        text(&head.headers, &header::CONTENT_LENGTH).and_then(|l| l.parse::<u64>().ok())
+    }
+
+    /// Encodes it for a server; `left` is how long the sidecar will wait, `rest` what follows the bytes held.
+    pub fn encode(
+        &self,
+        client: &awc::Client,
+        server: SocketAddr,
+        left: Duration,
+        rest: Option<Rest>,
+    ) -> awc::SendClientRequest {
         let uri = format!("http://{server}{}", self.target);
         let request = client
             .request(self.method.clone(), uri)
@@ -160,10 +212,17 @@
             Some(kind) => request.insert_header((header::CONTENT_TYPE, kind.clone())),
             None => request,
         };
-        if self.method == Method::GET && self.body.is_empty() {
-            request.send()
-        } else {
-            request.send_body(self.body.clone())
+        let first = self.body.clone();
+        match rest {
+            Some(Rest { parts, length }) => {
+                let parts = once(async move { Ok(first) }).chain(parts);
+                match length {
+                    Some(length) => request.send_body(SizedStream::new(length, parts)),
+                    None => request.send_body(BodyStream::new(parts)),
+                }
+            }
+            None if self.method == Method::GET && first.is_empty() => request.send(),
+            None => request.send_body(first),
         }
     }
 }
@@ -175,9 +234,15 @@
 }
 
 /// Encodes the final answer to a client.
-pub fn encode(answer: Answer) -> Response<Bytes> {
+pub fn encode(answer: Answer) -> Response<BoxBody> {
     match answer {
-        Answer::Served(Body { body, content_type }) => {
+        Answer::Served(Body { parts, content_type }) => {
+            let body = match parts {
+                Parts::Whole(body) => BoxBody::new(body),
+                Parts::Passing { first, rest, length } => {
+                    BoxBody::new(Passing { first, rest, length, ended: false })
+                }
+            };
             let mut response = Response::with_body(StatusCode::OK, body);
             if let Some(kind) = content_type {
                 response.headers_mut().insert(header::CONTENT_TYPE, kind);
@@ -185,30 +250,65 @@
             response
         }
         Answer::Refused { retry_after } => {
-            let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+            let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, BoxBody::new(()));
             let after = retry_after.map(|s| format!("{:.3}", s.f() / 1e6));
             if let Some(after) = after.and_then(|a| HeaderValue::try_from(a).ok()) {
                 response.headers_mut().insert(header::RETRY_AFTER, after);
             }
             response
         }
-        Answer::Failed => Response::with_body(StatusCode::BAD_GATEWAY, Bytes::new()),
+        Answer::Failed => Response::with_body(StatusCode::BAD_GATEWAY, BoxBody::new(())),
+    }
+}
+
+/// An answer that is passed on as it comes. Where it breaks off, so does the client's connection: it is never taken for
+/// a whole one.
+struct Passing {
+    first: Bytes,
+    rest: mpsc::Receiver<Part>,
+    length: Option<u64>,
+    ended: bool,
+}
+
+impl MessageBody for Passing {
+    type Error = io::Error;
+
+    fn size(&self) -> BodySize {
+        self.length.map_or(BodySize::Stream, BodySize::Sized)
+    }
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        if !self.first.is_empty() {
+            return Poll::Ready(Some(Ok(std::mem::take(&mut self.first))));
+        }
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        match ready!(self.rest.poll_recv(cx)) {
+            Some(Part::Bytes(bytes)) => Poll::Ready(Some(Ok(bytes))),
+            Some(Part::End) => {
+                self.ended = true;
+                Poll::Ready(None)
+            }
+            None => Poll::Ready(Some(Err(io::Error::other("the server's answer broke off")))),
+        }
     }
 }
 
 impl From<Cut> for Malformed {
     fn from(cut: Cut) -> Malformed {
         match cut {
-            Cut::Broken => Malformed { status: StatusCode::BAD_REQUEST, what: "the body broke off" },
-            Cut::TooLong => Malformed { status: StatusCode::PAYLOAD_TOO_LARGE, what: "the body is too long" },
+            Cut::Broken => {
+                Malformed { status: StatusCode::BAD_REQUEST, what: "the body broke off", taken: false }
+            }
         }
     }
 }
 
 impl Malformed {
     /// Encodes the answer.
-    pub fn encode(self) -> Response<Bytes> {
-        Response::with_body(self.status, Bytes::from_static(self.what.as_bytes()))
+    pub fn encode(self) -> Response<BoxBody> {
+        Response::with_body(self.status, BoxBody::new(Bytes::from_static(self.what.as_bytes())))
     }
 }
 
@@ -220,6 +320,8 @@
     pub load: Vec<f64>,
     /// What it says its body is.
     pub content_type: Option<HeaderValue>,
+    /// How long it says its body is, in bytes.
+    pub length: Option<u64>,
 }
 
 impl Reply {
@@ -233,7 +335,8 @@
             _ => Status::Error,
         };
         let load = text(headers, &SERVER_LOAD).map(|l| load(l.as_bytes(), fields)).unwrap_or_default();
-        Reply { status, load, content_type: headers.get(header::CONTENT_TYPE).cloned() }
+        let length = text(headers, &header::CONTENT_LENGTH).and_then(|l| l.parse().ok());
+        Reply { status, load, content_type: headers.get(header::CONTENT_TYPE).cloned(), length }
     }
 
     /// Reads the head and the body of a probe's answer: 503 is a probe's word for a server that is busy.
@@ -267,28 +370,24 @@
 pub enum Cut {
     /// Its connection broke off.
     Broken,
-    /// It is longer than the bound.
-    TooLong,
 }
 
-/// Reads a whole body of at most so many bytes.
+/// Reads a body until it is whole or over so many bytes; tells whether it is whole.
 pub async fn read_body<E>(
     parts: &mut (impl Stream<Item = Result<Bytes, E>> + Unpin),
     most: usize,
-) -> Result<Bytes, Cut> {
+) -> Result<(Bytes, bool), Cut> {
     let mut whole = BytesMut::new();
-    while let Some(part) = parts.next().await {
+    while whole.len() <= most {
+        let Some(part) = parts.next().await else { return Ok((whole.freeze(), true)) };
         let part = part.map_err(|_| Cut::Broken)?;
-        if whole.len() + part.len() > most {
-            return Err(Cut::TooLong);
-        }
         if whole.is_empty() {
             whole = BytesMut::from(part);
         } else {
             whole.extend_from_slice(&part);
         }
     }
-    Ok(whole.freeze())
+    Ok((whole.freeze(), false))
 }
 
 /// The address of the whole list.
--- a/crates/http/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -5,28 +5,31 @@
 //! own pool kept would stand idle until the next request, however old.
 
 use crate::line::{Gate, Line, Means, Unsent, Wire, ended_idle};
-use crate::message::{Body, Cut, Reply, Request, probe_uri, read_body};
+use crate::message::{Body, Cut, Part, Parts, Reply, Request, Rest, probe_uri, read_body};
 use crate::own::Own;
 use crate::seldom::{Seldom, seldom};
+use crate::written::Written;
 use crate::{Ended, Handle};
 use awc::error::SendRequestError;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dunlincleat::api::{Attempt, RequestId, ServerId, Span, State, Status};
 use dunlincleat_engine::SlotId;
 use dunlincleat_engine::shell::Transports;
 use dunlincleat_status::Metrics;
 use futures_util::StreamExt;
 use futures_util::future::{AbortHandle, Abortable, Aborted, LocalBoxFuture};
-use futures_util::stream::FuturesUnordered;
+use futures_util::stream::{self, FuturesUnordered};
 use rustc_hash::FxHashMap;
+use std::cell::{Cell, RefCell};
 use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc};
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// What a server's actor is told.
 enum Msg {
@@ -223,19 +226,22 @@
         match msg {
             Msg::Attempt { id, attempt, request, until, connect } => {
                 let line = self.line();
-                let (endpoint, common) = (self.endpoint, self.common.clone());
+                let (endpoint, common, server) = (self.endpoint, self.common.clone(), self.server);
                 let (abort, registration) = AbortHandle::new_pair();
                 self.aborts.insert((id, attempt), (abort, line.wire.clone()));
                 let started = Instant::now();
                 self.out.push(Box::pin(async move {
                     let wire = line.wire.clone();
-                    let sending = send(line, endpoint, &request, (until, connect), &common);
+                    let of = Of { id, attempt, server };
+                    let sending = send(line, endpoint, &request, (until, connect), &common, of);
                     let (mut ended, line) = match Abortable::new(sending, registration).await {
                         Ok(end) => end,
                         Err(Aborted) if wire.withdrawn() => (Ended::unsent(Status::Moot), None),
                         Err(Aborted) => (Ended::unsent(wire.unless_sent(Status::Cancelled)), None),
                     };
-                    ended.latency = Span(started.elapsed().as_micros() as u64);
+                    if ended.latency == Span(0) {
+                        ended.latency = Span(started.elapsed().as_micros() as u64);
+                    }
                     Done { what: What::Attempt(id, attempt), started, ended, line }
                 }));
             }
@@ -314,21 +320,102 @@
     }
 }
 
+/// Which attempt.
+#[derive(Clone, Copy)]
+struct Of {
+    id: RequestId,
+    attempt: Attempt,
+    server: ServerId,
+}
+
+/// A body that still comes, told to the engine for as long as this lives.
+struct Uploads {
+    of: Of,
+    engine: Handle,
+}
+
+impl Uploads {
+    fn new(of: Of, common: &Common) -> Uploads {
+        common.engine.uploads(of.id, of.server, false);
+        Uploads { of, engine: common.engine.clone() }
+    }
+}
+
+impl Drop for Uploads {
+    fn drop(&mut self) {
+        self.engine.uploads(self.of.id, self.of.server, true);
+    }
+}
+
+/// How long the beginning of an answer of untold length is held back to see its end, against how long it may stand
+/// still: one that breaks off or stops while it is held can be tried again.
+const HOLD: f64 = 4.0 / 3.0;
+/// How long a client may take for the next part of an answer.
+const CLIENT_STALL: Duration = Duration::from_secs(20);
+/// Parts of an answer on their way to the client.
+const PARTS: usize = 1;
+
 /// Sends a request and waits for the answer. The line comes back where it can be used again.
+///
+/// A request whose body is still coming has its time from its last byte on, as its client counts it. An answer is held
+/// up to the bound; a longer one is passed on from its first bytes, and from then on no deadline cuts it.
 async fn send(
     line: Line,
     endpoint: SocketAddr,
     request: &Request,
     (until, connect): (Instant, Option<Duration>),
     common: &Common,
+    of: Of,
 ) -> (Ended, Option<Line>) {
-    line.wire.begin(Some(request.body_bytes()));
-    let left = until.saturating_duration_since(Instant::now());
+    let started = Instant::now();
+    let left = until.saturating_duration_since(started);
+    let rest = request.rest();
+    let comes = Rc::new(RefCell::new(rest.is_some().then(|| Uploads::new(of, common))));
+    let length = match &rest {
+        Some(rest) => rest.length,
+        None => Some(request.held().len() as u64),
+    };
+    line.wire.begin(Some(Written::new(length)));
+    let whole = Rc::new(Cell::new(None));
+    let rest = rest.map(|Rest { parts, length }| {
+        let (comes, whole, wire) = (comes.clone(), whole.clone(), line.wire.clone());
+        let last = stream::poll_fn(move |_| {
+            drop(comes.borrow_mut().take());
+            whole.set(Some(Instant::now()));
+            wire.last();
+            Poll::Ready(None)
+        });
+        Rest { parts: parts.chain(last).boxed_local(), length }
+    });
     let exchange = async {
-        let response = request.encode(&line.client, endpoint, left).await.map_err(failure)?;
+        let mut response = request.encode(&line.client, endpoint, left, rest).await.map_err(failure)?;
         let reply = Reply::decode(response.status(), response.headers(), &common.fields);
-        let body = whole_body(response, common, &line.wire).await?;
-        Ok::<_, Status>((reply, body))
+        let most = common.means.own.body_bytes;
+        // What is known to be longer than the bound goes out with its first bytes.
+        let known = reply.length.is_some();
+        let most = if reply.length.is_some_and(|length| length > most as u64) { 0 } else { most };
+        let mut first = BytesMut::new();
+        let hold = Instant::now() + common.means.own.answer_stall.mul_f64(HOLD);
+        let end = loop {
+            let part = if known || first.is_empty() {
+                Ok(response.next().await)
+            } else {
+                timeout_at(hold, response.next()).await
+            };
+            match part {
+                Ok(Some(Ok(part))) => first.extend_from_slice(&part),
+                Ok(Some(Err(_))) => return Err(Status::Reset),
+                // Guards against half an answer served as a whole one: awc ends a body whose connection broke off
+                // without an error.
+                Ok(None) if line.wire.whole() => break true,
+                Ok(None) => return Err(Status::Reset),
+                Err(_) => break false,
+            }
+            if first.len() > most {
+                break false;
+            }
+        };
+        Ok::<_, Status>((reply, first.freeze(), (!end).then_some(response)))
     };
     // Nothing was written in time: the connection did not come up, and nothing can have run.
     let connecting = async {
@@ -341,22 +428,75 @@
         }
         Status::ConnectFailed
     };
+    // The time of a body that is still coming begins with its last byte.
+    let over = async {
+        while comes.borrow().is_some() {
+            sleep(UPLOAD_LOOK).await;
+            if line.wire.unsent() && Instant::now() >= until {
+                return;
+            }
+        }
+        sleep_until(until).await;
+        if let Some(whole) = whole.get() {
+            sleep_until(whole + left).await;
+        }
+    };
     let exchange = async {
         tokio::select! {
             biased;
-            done = exchange => done,
-            status = connecting => Err(status),
+            done = exchange => Some(done),
+            status = connecting => Some(Err(status)),
+            () = over => None,
         }
     };
-    match timeout_at(until, exchange).await {
-        Ok(Ok((reply, body))) => {
-            let body = Body { body, content_type: reply.content_type };
-            let body = (reply.status == Status::Ok).then_some(body);
-            let latency = Span(0);
-            (Ended { status: reply.status, latency, load: reply.load, body }, Some(line))
+    let ended = match exchange.await {
+        Some(Ok((reply, body, rest))) if reply.status != Status::Ok => {
+            drop(body);
+            let line = rest.is_none().then_some(line);
+            return (Ended { status: reply.status, latency: Span(0), load: reply.load, body: None }, line);
+        }
+        Some(Ok((reply, first, rest))) => {
+            let since = whole.get().unwrap_or(started);
+            let latency = Span((since.elapsed().as_micros() as u64).max(1));
+            let Reply { status, load, content_type, length } = reply;
+            let Some(mut response) = rest else {
+                let body = Some(Body { parts: Parts::Whole(first), content_type });
+                return (Ended { status, latency, load, body }, Some(line));
+            };
+            let (sender, receiver) = mpsc::channel(PARTS);
+            let body = Some(Body { parts: Parts::Passing { first, rest: receiver, length }, content_type });
+            line.wire.pass_on();
+            common.engine.began(of.id, of.attempt, of.server, Ended { status, latency, load, body });
+            let status = pass_on(&mut response, &sender, &line.wire).await;
+            (Ended::unsent(status), (status == Status::Ok).then_some(line))
+        }
+        // One that broke off in the middle of its body never ran.
+        Some(Err(Status::Reset)) if line.wire.spoilt().is_none() => {
+            (Ended::unsent(line.wire.unless_sent(Status::Reset)), None)
+        }
+        Some(Err(status)) => (Ended::unsent(judged(status, endpoint, &line.wire, common)), None),
+        None => (Ended::unsent(line.wire.unless_sent(Status::Timeout)), None),
+    };
+    ended
+}
+
+/// How often it is looked at whether a body that is still coming has come.
+const UPLOAD_LOOK: Duration = Duration::from_millis(50);
+
+/// Passes the rest of an answer on as fast as its client reads: what does not fit is not read from the server.
+async fn pass_on(response: &mut awc::ClientResponse, client: &mpsc::Sender<Part>, wire: &Wire) -> Status {
+    loop {
+        let part = match response.next().await {
+            Some(Ok(part)) => Part::Bytes(part),
+            None if wire.whole() => Part::End,
+            Some(Err(_)) | None => return Status::Reset,
+        };
+        let ends = matches!(part, Part::End);
+        match timeout(CLIENT_STALL, client.send(part)).await {
+            Ok(Ok(())) if ends => return Status::Ok,
+            Ok(Ok(())) => {}
+            Ok(Err(_)) | Err(_) => return Status::Cancelled,
         }
-        Ok(Err(status)) => (Ended::unsent(judged(status, endpoint, &line.wire, common)), None),
-        Err(_) => (Ended::unsent(line.wire.unless_sent(Status::Timeout)), None),
     }
 }
 
@@ -388,19 +528,17 @@
     Status::Error
 }
 
-/// Reads the body of an answer. One that breaks off is a reset, one that is too long an error.
+/// Reads the body of a probe's answer. One that breaks off is a reset, one that is too long an error.
 async fn whole_body(
     mut response: awc::ClientResponse,
     common: &Common,
     wire: &Wire,
 ) -> Result<Bytes, Status> {
-    let body = read_body(&mut response, common.means.own.body_bytes).await.map_err(|cut| match cut {
-        Cut::Broken => Status::Reset,
-        Cut::TooLong => Status::Error,
-    })?;
-    // Guards against half an answer served as a whole one: awc ends a body whose connection broke off without
-    // an error.
-    if wire.whole() { Ok(body) } else { Err(Status::Reset) }
+    match read_body(&mut response, common.means.own.body_bytes).await {
+        Ok((_, false)) => Err(Status::Error),
+        Ok((body, true)) if wire.whole() => Ok(body),
+        Ok((_, true)) | Err(Cut::Broken) => Err(Status::Reset),
+    }
 }
 
 /// What an error of awc's says about whether the request has run. In doubt it may have.
@@ -418,6 +556,8 @@
         SendRequestError::Connect(_) | SendRequestError::Url(_) | SendRequestError::Http(_) => {
             Status::ConnectFailed
         }
+        // The client's body broke off: nothing of it can run, and no server is at fault.
+        SendRequestError::Body(_) => Status::Moot,
         // A write failed: the kernel did not take the last byte.
         SendRequestError::Send(_) => Status::ConnectFailed,
         _ => Status::Reset,
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -323,7 +323,7 @@
             body_bytes: body_bytes as usize,
             requests: number("requests", requests, 1)? as usize,
             client_connections,
-            client_request: millis("client_request_ms", 2200, 1)?,
+            client_request: millis("client_request_ms", 2600, 1)?,
             client_idle: millis("client_idle_ms", 3000, 2000)?,
             server_connections,
             // The server closes one that is as old as the site's figure at the latest: four fifths of it are before, and
--- /dev/null
+++ b/crates/sidecar/tests/bodies.rs
@@ -0,0 +1,168 @@
+//! Long and slow bodies, both ways: passed on as they come, within little memory, and never half of one for a whole.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc::channel;
+use std::thread;
+
+const LONG: usize = 32 << 20;
+
+/// A server that does this with each connection.
+fn server(act: impl Fn(TcpStream) + Send + Sync + 'static) -> Setup {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || listener.incoming().for_each(|stream| act(stream.unwrap())));
+    Setup::new(vec![entry("s1", address, "up")])
+}
+
+/// Reads a head to its end; what came behind it is given back.
+fn head(stream: &mut TcpStream) -> (String, Vec<u8>) {
+    let mut bytes = Vec::new();
+    loop {
+        let mut part = [0; 4096];
+        let n = stream.read(&mut part).unwrap();
+        assert!(n > 0, "the connection ended within a head");
+        bytes.extend_from_slice(&part[..n]);
+        if let Some(at) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+            let rest = bytes.split_off(at + 4);
+            return (String::from_utf8(bytes).unwrap(), rest);
+        }
+    }
+}
+
+/// Guards the memory limit: an answer is read from its server only as fast as its client reads.
+#[test]
+fn long_answers_are_passed_on_whole_and_held_nowhere() {
+    let sidecar = server(|mut stream| {
+        thread::spawn(move || {
+            head(&mut stream);
+            let told = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
+            stream.write_all(told.as_bytes()).unwrap();
+            let part: Vec<u8> = (0..=255).cycle().take(1 << 16).collect();
+            let _ = (0..LONG >> 16).try_for_each(|_| stream.write_all(&part));
+        });
+    })
+    .set("/limits/memory_mb", json!(48))
+    .start();
+    let mut clients: Vec<_> = (0..12).map(|_| sidecar.connect()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&read(&format!("r{n}")));
+    }
+    // All twelve begin before any is read: together far over the limit.
+    for client in &mut clients {
+        let mut first = [0; 1];
+        client.stream.read_exact(&mut first).unwrap();
+    }
+    assert!(sidecar.memory() < 40 << 20, "{} bytes are held", sidecar.memory());
+    for client in &mut clients {
+        let (_, body) = head(&mut client.stream);
+        let mut got = body;
+        while got.len() < LONG {
+            let mut part = vec![0; 1 << 20];
+            let n = client.stream.read(&mut part).unwrap();
+            assert!(n > 0, "it ended after {}", got.len());
+            got.extend_from_slice(&part[..n]);
+        }
+        assert!(got.iter().zip((0..=255).cycle()).all(|(is, due)| *is == due) && got.len() == LONG);
+    }
+    assert!(sidecar.memory() < 48 << 20);
+}
+
+/// Guards against half an answer taken for a whole one, in both forms.
+#[test]
+fn a_long_answer_that_breaks_off_ends_its_connection_before_its_end() {
+    for (told, last) in [("Content-Length: 200000", ""), ("Transfer-Encoding: chunked", "30d40\r\n")] {
+        let sidecar = server(move |mut stream| {
+            head(&mut stream);
+            let told = format!("HTTP/1.1 200 OK\r\n{told}\r\n\r\n{last}");
+            stream.write_all(told.as_bytes()).unwrap();
+            stream.write_all(&vec![b'x'; 150_000]).unwrap();
+        })
+        .start();
+        let mut client = sidecar.connect();
+        client.send(&once("r1"));
+        let mut got = Vec::new();
+        let _ = client.stream.read_to_end(&mut got);
+        let text = String::from_utf8_lossy(&got);
+        assert!(text.starts_with("HTTP/1.1 200"), "{text:.60}");
+        assert!(got.len() < 200_000 && !text.ends_with("0\r\n\r\n"), "{told}: {}", got.len());
+    }
+}
+
+#[test]
+fn an_answer_that_lasts_until_its_connection_ends_is_served() {
+    for length in [0, 5, 100_000] {
+        let sidecar = server(move |mut stream| {
+            head(&mut stream);
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").unwrap();
+            stream.write_all(&vec![b'x'; length]).unwrap();
+        })
+        .start();
+        let mut client = sidecar.connect();
+        client.send("GET /read HTTP/1.1\r\nHost: x\r\nX-Request-ID: r1\r\nConnection: close\r\n\r\n");
+        let mut got = Vec::new();
+        client.stream.read_to_end(&mut got).unwrap();
+        let text = String::from_utf8(got).unwrap();
+        assert!(text.starts_with("HTTP/1.1 200"), "{text:.60}");
+        assert_eq!(text.matches('x').count(), length);
+        assert!(length < 65_536 || text.ends_with("0\r\n\r\n"), "its end is marked");
+    }
+}
+
+/// A request's time counts from its last byte: the first bytes of this one come long before its deadline's length.
+#[test]
+fn a_long_body_goes_to_one_server_as_it_comes_and_its_time_counts_from_its_end() {
+    let (begun, begins) = channel();
+    let (seen, sees) = channel();
+    let sidecar = server(move |mut stream| {
+        let (told, mut body) = head(&mut stream);
+        begun.send(told).unwrap();
+        while body.len() < LONG {
+            let mut part = vec![0; 1 << 20];
+            let n = stream.read(&mut part).unwrap();
+            assert!(n > 0, "it ended after {}", body.len());
+            body.extend_from_slice(&part[..n]);
+        }
+        seen.send(body.iter().zip((0..=255).cycle()).all(|(is, due)| *is == due)).unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
+    })
+    .set("/limits/memory_mb", json!(48))
+    .set("/settings/classes/1/deadline", json!(300_000))
+    .set("/settings/classes/1/aim", json!(300_000))
+    .start();
+    let mut client = sidecar.connect();
+    client.send(&format!("POST /once HTTP/1.1\r\nHost: x\r\nX-Request-ID: r1\r\nContent-Length: {LONG}\r\n\r\n"));
+    let body: Vec<u8> = (0..=255).cycle().take(LONG).collect();
+    client.stream.write_all(&body[..1 << 20]).unwrap();
+    let told = begins.recv_timeout(PATIENCE).unwrap().to_lowercase();
+    assert!(told.contains(&format!("content-length: {LONG}")), "{told}");
+    // Longer than its class may take: the client still writes.
+    let since = std::time::Instant::now();
+    while since.elapsed() < std::time::Duration::from_millis(400) {
+        thread::yield_now();
+    }
+    client.stream.write_all(&body[1 << 20..]).unwrap();
+    assert_eq!(client.answer().text(), "ok");
+    assert!(sees.recv_timeout(PATIENCE).unwrap(), "it came as it was sent");
+    assert!(sidecar.memory() < 48 << 20, "{}", sidecar.memory());
+}
+
+/// Guards the rule that nothing runs twice, and what clients are told: a body that broke off never ran.
+#[test]
+fn a_long_body_that_breaks_off_runs_nowhere() {
+    let server = Server::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
+    for n in 0..3 {
+        let mut client = sidecar.connect();
+        let told = format!("POST /once HTTP/1.1\r\nHost: x\r\nX-Request-ID: r{n}\r\nContent-Length: {LONG}\r\n\r\n");
+        client.send(&told);
+        client.stream.write_all(&vec![b'x'; 1 << 18]).unwrap();
+        let _ = client.stream.shutdown(std::net::Shutdown::Both);
+    }
+    assert_eq!(sidecar.ask(&once("usual")).status(), 200);
+    assert!(server.requests.all().iter().all(|(_, m)| m.header("x-request-id") == Some("usual")));
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -394,6 +394,16 @@
         /// The server's load report, empty where none came.
         load: &'a [f64],
     },
+    /// The body of an attempt that was just sent still comes, or comes no more. The first is followed by the second, at
+    /// the latest before the attempt's end.
+    Uploads {
+        /// Of which request: its time counts from its last byte.
+        id: RequestId,
+        /// Which server.
+        server: ServerId,
+        /// It comes no more.
+        over: bool,
+    },
     /// A second copy of a request is due by the operator's limits, while its only attempt is out.
     Copy {
         /// Which.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,8 +9,8 @@
 
 pub mod api;
 mod calls;
-mod draws;
 mod keys;
+mod numbers;
 pub mod rules;
 mod told;
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,8 +5,8 @@
 
 use crate::api::*;
 use crate::calls::{CALL, Calls};
-use crate::draws::Draws;
 use crate::keys::{self, Keys};
+use crate::numbers::{Draws, Turn, smooth};
 use crate::told::{self, Told};
 use rand::Rng;
 use rustc_hash::FxHashMap;
@@ -128,6 +128,13 @@
 }
 
 impl Server {
+    /// Holds one more of our attempts, or one less.
+    fn holds(&mut self, now: Time, more: bool) {
+        self.out = if more { self.out + 1 } else { self.out.saturating_sub(1) };
+        self.sent_since += if more { 1.0 } else { -1.0 };
+        self.waiting = if more { self.waiting.or(Some(now)) } else { self.waiting.filter(|_| self.out > 0) };
+    }
+
     /// Keeps away for a while that doubles with each strike, up to 32 aims: a hang outlasts many aims.
     fn strike(&mut self, now: Time, aim: Span) {
         self.strikes += 1;
@@ -178,14 +185,6 @@
     not: Option<ServerId>,
 }
 
-/// How long one request of a class takes a server, by those it holds: a running geometric mean.
-#[derive(Clone, Copy, Debug, Default)]
-struct Turn {
-    log: f64,
-    seen: u32,
-    at: Time,
-}
-
 /// One balancer: its tables, its open requests, its view of the servers.
 #[derive(Default)]
 pub struct Balancer {
@@ -290,15 +289,15 @@
             Event::Members { kind, entries } => self.on_members(now, kind, entries, todo),
             Event::Request { id, left, class, hint, key, .. } => {
                 self.asked += 1;
-                let deadline = now + left;
                 let key = key.filter(|_| self.set.warm_keys);
                 let aim = self.class(class).map_or(left, |c| c.aim);
-                let (most, arrived, rest) = (self.set.limits.max_attempts, now, Open::default());
+                let (most, arrived, deadline) = (self.set.limits.max_attempts, now, now + left);
+                let rest = Open::default();
                 self.open.insert(id, Open { class, hint, key, aim, most, arrived, deadline, ..rest });
                 key.into_iter().for_each(|key| self.keys.count(key));
                 self.probe_credit += self.probes_a_request();
-                let price = self.set.prices.peer.max(PEER_SPEND / 4.0);
-                self.peer_credit += told::BYTES as f64 * PEER_SPEND / price;
+                self.peer_credit +=
+                    told::BYTES as f64 * PEER_SPEND / self.set.prices.peer.max(PEER_SPEND / 4.0);
                 if now - self.stepped > self.patience(class) && self.probes_a_request() < 1.0 {
                     self.step(now, todo);
                 }
@@ -320,6 +319,14 @@
                 self.on_outcome(now, id, closed, todo);
                 self.serve_held(now, 1, todo);
             }
+            // A server has nothing of a request that is still being written to it: its load and silence, and the
+            // request's own time, begin with the last byte. Counted before, slow bodies had idle servers refused.
+            Event::Uploads { id, server, over } => {
+                self.server_mut(server).into_iter().for_each(|s| s.holds(now, over));
+                if let Some(open) = self.open.get_mut(&id).filter(|_| over) {
+                    (open.deadline, open.arrived) = (open.deadline + (now - open.arrived), now);
+                }
+            }
             Event::Copy { id } => drop(self.copy(now, id, todo)),
             Event::Probed { server, status, load, .. } => {
                 if let Some(s) = self.server_mut(server).filter(|s| s.probing.is_some()) {
@@ -939,10 +946,8 @@
         let ahead = self.turns_at(self.server(server)) - 1.0;
         self.changed.extend(self.tells.then_some(server));
         if let Some(s) = self.server_mut(server) {
-            s.out += 1;
-            s.sent_since += 1.0;
+            s.holds(now, true);
             s.credit -= 1.0;
-            s.waiting = s.waiting.or(Some(now));
         }
         if let Some(open) = self.open.get_mut(&id) {
             open.attempts.push(Sent { server, at: now, ahead, ended: None });
@@ -962,10 +967,7 @@
         let Some(own) = last.map(|last| std::mem::replace(&mut last.server, server)) else { return };
         let now = self.stepped;
         for (id, more) in [(own, false), (server, true)] {
-            let Some(s) = self.server_mut(id) else { continue };
-            s.out = if more { s.out + 1 } else { s.out.saturating_sub(1) };
-            s.sent_since += if more { 1.0 } else { -1.0 };
-            s.waiting = if more { s.waiting.or(Some(now)) } else { s.waiting.filter(|_| s.out > 0) };
+            self.server_mut(id).into_iter().for_each(|s| s.holds(now, more));
         }
     }
 
@@ -1056,11 +1058,6 @@
     set.classes.iter().filter(|c| !c.retired).map(|c| c.aim).min().unwrap_or(SECOND)
 }
 
-/// A running mean in which a new value has the given weight.
-fn smooth(old: Option<f64>, value: f64, weight: f64) -> f64 {
-    old.map_or(value, |old| old + weight * (value - old))
-}
-
 /// Bends figures against their mean, see `BEND`, and divides them by the largest; zeros where that is zero.
 pub fn bent(figures: &[Option<f64>]) -> Vec<Option<f64>> {
     let known = || figures.iter().flatten();
