Of a long body only one attempt sends: a second one sent the held part as the whole

Ruled out: a payload that ends without an error when its client leaves (actix-http's payload gives one). An attempt that failed before it read any of the rest leaves it to the next.

--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -158,8 +158,9 @@
         .map_err(|()| anyhow!("the server could not be set up"))?;
     let service = Rc::new(service);
     let sweeper = actix_rt::spawn(sweep(clients.clone(), connections.clone(), lifecycle.clone()));
-    tracing::info!("listening on {}", listener.local_addr()?);
+    let at = listener.local_addr()?;
     lifecycle.tell(lifecycle::Event::Ready);
+    tracing::info!("listening on {at}");
     loop {
         let permit = tokio::select! {
             biased;
@@ -422,7 +423,7 @@
             None if whole => None,
             state => {
                 state.into_iter().for_each(|state| state.uploads.set(true));
-                Some(Rest { parts: uploading(payload, state.cloned()), length })
+                Some(Rest::new(uploading(payload, state.cloned()), length))
             }
         };
         // Its time counts from its last byte: a slow body once left none for the servers.
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -14,10 +14,11 @@
 use futures_util::stream::{LocalBoxStream, once};
 use futures_util::{Stream, StreamExt};
 use serde_json::Value;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -47,8 +48,8 @@
     key: Option<HeaderValue>,
     content_type: Option<HeaderValue>,
     body: Bytes,
-    /// What follows the bytes held, where the body is passed on as it comes. Only one attempt can have it.
-    rest: RefCell<Option<Rest>>,
+    /// What follows the bytes held, where the body is passed on as it comes.
+    rest: Option<Rc<Rest>>,
     /// What the engine is told of it.
     pub ask: Ask,
 }
@@ -84,14 +85,34 @@
     End,
 }
 
-/// The part of a request's body that has not come yet.
+/// The part of a request's body that has not come yet. It can be read once: an attempt that failed before it read any
+/// of it leaves it to the next.
 pub struct Rest {
     /// Where it comes from.
-    pub parts: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
+    parts: RefCell<LocalBoxStream<'static, Result<Bytes, PayloadError>>>,
+    read: Cell<bool>,
     /// How long the whole body is, where that was told.
     pub length: Option<u64>,
 }
 
+impl Rest {
+    /// The rest of a body of this length.
+    pub fn new(parts: LocalBoxStream<'static, Result<Bytes, PayloadError>>, length: Option<u64>) -> Rest {
+        Rest { parts: RefCell::new(parts), read: Cell::new(false), length }
+    }
+
+    /// Some of it was read: what is left is not the whole of it any more.
+    pub fn read(&self) -> bool {
+        self.read.get()
+    }
+
+    /// Reads on.
+    pub fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, PayloadError>>> {
+        self.read.set(true);
+        self.parts.borrow_mut().poll_next_unpin(cx)
+    }
+}
+
 /// Why a request was not taken.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Malformed {
@@ -165,20 +186,20 @@
             key,
             content_type: head.headers.get(header::CONTENT_TYPE).cloned(),
             body: Bytes::new(),
-            rest: RefCell::default(),
+            rest: None,
             ask,
         })
     }
 
     /// The same with its body.
     pub fn with_body(mut self, body: Bytes, rest: Option<Rest>) -> Request {
-        (self.body, self.rest) = (body, RefCell::new(rest));
+        (self.body, self.rest) = (body, rest.map(Rc::new));
         self
     }
 
-    /// What has not come of its body yet; the first attempt that asks has it, and none where it is whole.
-    pub fn rest(&self) -> Option<Rest> {
-        self.rest.borrow_mut().take()
+    /// What had not come of its body when it was taken; none where it is whole.
+    pub fn rest(&self) -> Option<Rc<Rest>> {
+        self.rest.clone()
     }
 
     /// The bytes of its body that are held.
@@ -197,7 +218,7 @@
         client: &awc::Client,
         server: SocketAddr,
         left: Duration,
-        rest: Option<Rest>,
+        rest: Option<LocalBoxStream<'static, Result<Bytes, PayloadError>>>,
     ) -> awc::SendClientRequest {
         let uri = format!("http://{server}{}", self.target);
         let request = client
@@ -214,9 +235,9 @@
         };
         let first = self.body.clone();
         match rest {
-            Some(Rest { parts, length }) => {
+            Some(parts) => {
                 let parts = once(async move { Ok(first) }).chain(parts);
-                match length {
+                match self.rest.as_ref().and_then(|rest| rest.length) {
                     Some(length) => request.send_body(SizedStream::new(length, parts)),
                     None => request.send_body(BodyStream::new(parts)),
                 }
--- a/crates/http/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -5,7 +5,7 @@
 //! own pool kept would stand idle until the next request, however old.
 
 use crate::line::{Gate, Line, Means, Unsent, Wire, ended_idle};
-use crate::message::{Body, Cut, Part, Parts, Reply, Request, Rest, probe_uri, read_body};
+use crate::message::{Body, Cut, Part, Parts, Reply, Request, probe_uri, read_body};
 use crate::own::Own;
 use crate::seldom::{Seldom, seldom};
 use crate::written::Written;
@@ -26,7 +26,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::Poll;
+use std::task::{Poll, ready};
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
@@ -370,6 +370,10 @@
     let started = Instant::now();
     let left = until.saturating_duration_since(started);
     let rest = request.rest();
+    // Guards against a part of a body sent for the whole: what an attempt has read of it is not there for another.
+    if rest.as_ref().is_some_and(|rest| rest.read()) {
+        return (Ended::unsent(Status::Moot), Some(line));
+    }
     let comes = Rc::new(RefCell::new(rest.is_some().then(|| Uploads::new(of, common))));
     let length = match &rest {
         Some(rest) => rest.length,
@@ -377,15 +381,18 @@
     };
     line.wire.begin(Some(Written::new(length)));
     let whole = Rc::new(Cell::new(None));
-    let rest = rest.map(|Rest { parts, length }| {
+    let rest = rest.map(|rest| {
         let (comes, whole, wire) = (comes.clone(), whole.clone(), line.wire.clone());
-        let last = stream::poll_fn(move |_| {
-            drop(comes.borrow_mut().take());
-            whole.set(Some(Instant::now()));
-            wire.last();
-            Poll::Ready(None)
+        let parts = stream::poll_fn(move |cx| {
+            let part = ready!(rest.poll(cx));
+            if part.is_none() {
+                drop(comes.borrow_mut().take());
+                whole.set(Some(Instant::now()));
+                wire.last();
+            }
+            Poll::Ready(part)
         });
-        Rest { parts: parts.chain(last).boxed_local(), length }
+        parts.boxed_local()
     });
     let exchange = async {
         let mut response = request.encode(&line.client, endpoint, left, rest).await.map_err(failure)?;
@@ -449,11 +456,10 @@
             () = over => None,
         }
     };
-    let ended = match exchange.await {
-        Some(Ok((reply, body, rest))) if reply.status != Status::Ok => {
-            drop(body);
+    match exchange.await {
+        Some(Ok((reply, _, rest))) if reply.status != Status::Ok => {
             let line = rest.is_none().then_some(line);
-            return (Ended { status: reply.status, latency: Span(0), load: reply.load, body: None }, line);
+            (Ended { status: reply.status, latency: Span(0), load: reply.load, body: None }, line)
         }
         Some(Ok((reply, first, rest))) => {
             let since = whole.get().unwrap_or(started);
@@ -476,8 +482,7 @@
         }
         Some(Err(status)) => (Ended::unsent(judged(status, endpoint, &line.wire, common)), None),
         None => (Ended::unsent(line.wire.unless_sent(Status::Timeout)), None),
-    };
-    ended
+    }
 }
 
 /// How often it is looked at whether a body that is still coming has come.
--- a/crates/sidecar/tests/bodies.rs
+++ b/crates/sidecar/tests/bodies.rs
@@ -135,7 +135,9 @@
     .set("/settings/classes/1/aim", json!(300_000))
     .start();
     let mut client = sidecar.connect();
-    client.send(&format!("POST /once HTTP/1.1\r\nHost: x\r\nX-Request-ID: r1\r\nContent-Length: {LONG}\r\n\r\n"));
+    client.send(&format!(
+        "POST /once HTTP/1.1\r\nHost: x\r\nX-Request-ID: r1\r\nContent-Length: {LONG}\r\n\r\n"
+    ));
     let body: Vec<u8> = (0..=255).cycle().take(LONG).collect();
     client.stream.write_all(&body[..1 << 20]).unwrap();
     let told = begins.recv_timeout(PATIENCE).unwrap().to_lowercase();
@@ -158,7 +160,8 @@
     let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
     for n in 0..3 {
         let mut client = sidecar.connect();
-        let told = format!("POST /once HTTP/1.1\r\nHost: x\r\nX-Request-ID: r{n}\r\nContent-Length: {LONG}\r\n\r\n");
+        let told =
+            format!("POST /once HTTP/1.1\r\nHost: x\r\nX-Request-ID: r{n}\r\nContent-Length: {LONG}\r\n\r\n");
         client.send(&told);
         client.stream.write_all(&vec![b'x'; 1 << 18]).unwrap();
         let _ = client.stream.shutdown(std::net::Shutdown::Both);
@@ -166,3 +169,32 @@
     assert_eq!(sidecar.ask(&once("usual")).status(), 200);
     assert!(server.requests.all().iter().all(|(_, m)| m.header("x-request-id") == Some("usual")));
 }
+
+/// Guards what servers are sent: the next attempt once got the part that was held, as if it were all.
+#[test]
+fn of_a_long_body_no_second_attempt_sends_a_part() {
+    let (seen, sees) = channel();
+    let act = move |mut stream: TcpStream| {
+        let seen = seen.clone();
+        thread::spawn(move || {
+            head(&mut stream);
+            seen.send(()).unwrap();
+            // In the middle of the body: it never ran, and would be sent again were it short.
+            let mut part = [0; 1000];
+            let _ = stream.read(&mut part);
+        });
+    };
+    let sidecar = server(act).start();
+    let mut client = sidecar.connect();
+    let told = format!(
+        "POST /pay HTTP/1.1\r\nHost: x\r\nX-Request-ID: r1\r\nIdempotency-Key: k\r\nContent-Length: {LONG}\r\n\r\n"
+    );
+    client.send(&told);
+    let mut stream = client.stream.try_clone().unwrap();
+    let writer = thread::spawn(move || stream.write_all(&vec![b'x'; LONG]).is_ok());
+    let answer = client.answer_or_end();
+    assert!(answer.is_none_or(|answer| answer.status() == 503), "it never ran");
+    drop(client);
+    writer.join().unwrap();
+    assert_eq!(sees.try_iter().count(), 1, "attempts");
+}
--- /dev/null
+++ b/crates/sidecar/tests/operators.rs
@@ -0,0 +1,349 @@
+//! What operators meet: the console and its figures, standby, settings at SIGHUP, a second process on one socket.
+
+mod common;
+
+use common::*;
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::time::Instant;
+
+fn with_console(setup: Setup) -> (Setup, SocketAddr) {
+    let console = own_address();
+    (setup.set("/console", json!(console.to_string())), console)
+}
+
+/// One call of the console.
+fn call(console: SocketAddr, line: &[u8]) -> String {
+    let mut stream = TcpStream::connect(console).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(line).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+/// A figure as the console tells it now.
+fn figure(console: SocketAddr, name: &str) -> i64 {
+    let text = call(console, b"stats\n");
+    assert!(text.ends_with("\nEND\n"), "{text}");
+    let line = text.lines().find_map(|line| line.strip_prefix(&format!("svc_{name} ")));
+    line.unwrap_or_else(|| panic!("no {name} in\n{text}")).parse().unwrap()
+}
+
+/// Waits until a figure is as it should be.
+fn figure_becomes(console: SocketAddr, name: &str, value: i64) {
+    let end = Instant::now() + PATIENCE;
+    while figure(console, name) != value {
+        assert!(Instant::now() < end, "{name} is {}, not {value}", figure(console, name));
+    }
+}
+
+#[test]
+fn the_console_answers_each_call_whoever_else_says_nothing() {
+    let (setup, console) = with_console(Setup::new(vec![]));
+    let sidecar = setup.start();
+    // More silent and half-spoken callers than there are places: the oldest goes, nobody waits.
+    let silent: Vec<TcpStream> = (0..40)
+        .map(|n| {
+            let mut stream = TcpStream::connect(console).unwrap();
+            stream.write_all(&b"sta"[..n % 4]).unwrap();
+            stream
+        })
+        .collect();
+    let since = Instant::now();
+    assert_eq!(call(console, b"status\r\n"), "YES active\n");
+    assert!(since.elapsed().as_secs_f64() < 1.0);
+    for (wrong, why) in [
+        (&b"\n"[..], "NO the call is empty"),
+        (b"status please\n", "NO no such call"),
+        (b"\0\xff\x01\n", "NO no such call"),
+        (&[b'x'; 300], "NO the call is too long"),
+    ] {
+        let answer = call(console, wrong);
+        assert!(answer.starts_with(why) && answer.lines().count() == 1, "{answer}");
+    }
+    // One that ends its side without a line end is told so.
+    let mut half = TcpStream::connect(console).unwrap();
+    half.write_all(b"status").unwrap();
+    half.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    half.read_to_string(&mut answer).unwrap();
+    assert_eq!(answer, "NO the call has no line end\n");
+    drop(silent);
+    drop(sidecar);
+}
+
+/// Guards the figures: what was asked is what ended, under its class and in its way.
+#[test]
+fn each_request_is_counted_once_and_attempts_when_they_are_whole() {
+    let server = Server::start(|n, m| match m.target() {
+        "/once" if n % 2 == 0 => Act::Break,
+        _ => ok("x"),
+    });
+    let gone = own_address();
+    let known = vec![entry("s1", server.address, "up"), entry("s2", gone, "draining")];
+    let (setup, console) = with_console(Setup::new(known));
+    let sidecar = setup.start();
+    let mut ends = std::collections::HashMap::new();
+    for n in 0..30 {
+        let request = if n % 3 == 0 { once(&format!("r{n}")) } else { read(&format!("r{n}")) };
+        let status = sidecar.ask(&request).status();
+        *ends.entry((n % 3 == 0, status)).or_insert(0_i64) += 1;
+    }
+    assert_eq!(sidecar.ask("GET /nowhere HTTP/1.1\r\nHost: x\r\nX-Request-ID: r\r\n\r\n").status(), 404);
+    let count = |once, status| ends.get(&(once, status)).copied().unwrap_or(0);
+    let text = call(console, b"stats\n");
+    for (once, class) in [(true, "once"), (false, "read")] {
+        for (name, status) in [("passed", 200), ("dropped", 503), ("bad_gateway", 502)] {
+            let line = format!("svc_{name}{{category=\"{class}\"}} {}", count(once, status));
+            assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
+        }
+    }
+    assert_eq!(ends.values().sum::<i64>(), 30);
+    assert!(count(true, 502) > 0 && count(false, 200) > 0);
+    assert_eq!(figure(console, "upstream_tries"), server.count() as i64);
+    assert_eq!((figure(console, "in_progress"), figure(console, "known_endpoints")), (0, 2));
+}
+
+#[test]
+fn standby_sends_clients_away_and_loses_nothing_and_active_ends_it() {
+    let (gate, wait) = latch("finished");
+    let server = Server::start(move |n, _| if n == 1 { wait.clone() } else { ok("x") });
+    let (setup, console) = with_console(Setup::new(vec![entry("s1", server.address, "up")]));
+    let sidecar = setup.start();
+    let health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    let (mut idle, mut busy, mut late) = (sidecar.connect(), sidecar.connect(), sidecar.connect());
+    idle.send(&read("r0"));
+    assert_eq!(idle.answer().status(), 200);
+    busy.send(&once("r1"));
+    server.requests.wait(2, "requests");
+    assert_eq!(call(console, b"standby\n"), "YES standby\n");
+    // The yes came after the no: from here on none is told otherwise.
+    let answer = sidecar.ask(health);
+    assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")));
+    assert_eq!(call(console, b"status\n"), "NO standby\n");
+    assert_eq!(call(console, b"standby\n"), "YES standby\n", "an order twice is one");
+    // Who still asks on an open connection is served, and told to go.
+    late.send(&read("r2"));
+    let answer = late.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    idle.ended();
+    gate.send(()).unwrap();
+    let answer = busy.answer();
+    assert_eq!((answer.text().as_str(), answer.header("connection")), ("finished", Some("close")));
+    busy.ended();
+    assert_eq!(call(console, b"active\n"), "YES active\n");
+    assert_eq!(sidecar.ask(health).status(), 200);
+    let mut stays = sidecar.connect();
+    for n in 3..5 {
+        stays.send(&read(&format!("r{n}")));
+        assert_eq!(stays.answer().header("connection"), None);
+    }
+}
+
+fn named<'a>(config: &'a mut Value, name: &str) -> &'a mut Value {
+    let classes = config["settings"]["classes"].as_array_mut().unwrap();
+    classes.iter_mut().find(|class| class["name"] == name).unwrap()
+}
+
+/// Guards open requests: they keep the class that they were taken under, whatever a reload makes of it.
+#[test]
+fn settings_are_taken_up_whole_and_open_requests_keep_their_class() {
+    let (gate, wait) = latch("late");
+    let server = Server::start(move |n, m| match (n, m.target()) {
+        (0, _) => wait.clone(),
+        (_, "/pay") => Act::Break,
+        _ => ok("x"),
+    });
+    let other = Server::start(|_, m| if m.target() == "/pay" { Act::Break } else { ok("x") });
+    let known = vec![entry("s1", server.address, "up"), entry("s2", other.address, "draining")];
+    let (setup, console) = with_console(Setup::new(known));
+    let sidecar = setup.start();
+    let new = "GET /new HTTP/1.1\r\nHost: x\r\nX-Request-ID: n1\r\n\r\n";
+    assert_eq!(sidecar.ask(new).status(), 404);
+    let mut open = sidecar.connect();
+    open.send(&once("r0"));
+    server.requests.wait(1, "requests");
+
+    // A class comes, the open request's class goes, a class becomes one that must not run twice.
+    let mut config = sidecar.config.clone();
+    named(&mut config, "pay")["semantics"] = json!("fragile");
+    let mut added = named(&mut config, "read").clone();
+    added["name"] = json!("new");
+    let classes = config["settings"]["classes"].as_array_mut().unwrap();
+    classes.retain(|class| class["name"] != "once");
+    classes.insert(0, added);
+    config["settings"]["limits"]["try_limit"] = json!(2);
+    sidecar.reload(&config.to_string());
+    figure_becomes(console, "loads", 1);
+    let end = Instant::now() + PATIENCE;
+    while sidecar.ask(new).status() != 200 {
+        assert!(Instant::now() < end, "the new class is not known");
+    }
+    assert_eq!(sidecar.ask(&once("r1")).status(), 404, "its class is gone");
+    let before = server.count();
+    assert_eq!(sidecar.ask(&pay("r2")).status(), 502, "it may have run, and must not run twice now");
+    assert_eq!(server.count(), before + 1);
+    gate.send(()).unwrap();
+    assert_eq!(open.answer().text(), "late");
+    let text = call(console, b"stats\n");
+    assert!(
+        text.contains("svc_passed{category=\"once\"} 1\n"),
+        "counts never fall, nor do classes go:\n{text}"
+    );
+
+    // Whatever is broken changes nothing, and its key is named.
+    let (good, mut errors) = (config, 0);
+    let broken = |change: &dyn Fn(&mut Value)| {
+        let mut config = good.clone();
+        change(&mut config);
+        config.to_string()
+    };
+    let text = good.to_string();
+    for (file, said) in [
+        (String::new(), "EDGE_CONFIG: not JSON"),
+        (text[..text.len() / 2].to_owned(), "EDGE_CONFIG: not JSON"),
+        (
+            broken(&|c| named(c, "new")["deadline"] = json!(0)),
+            "classes[0].deadline: 0 is no number of microseconds",
+        ),
+        (
+            broken(&|c| named(c, "new")["deadline"] = json!(-5)),
+            "classes[0].deadline: invalid value: integer `-5`",
+        ),
+        (
+            broken(&|c| named(c, "new")["deadline"] = json!("soon")),
+            "classes[0].deadline: invalid type: string",
+        ),
+        (
+            broken(&|c| named(c, "new")["deadline"] = json!(1e300)),
+            "classes[0].deadline: invalid type: floating",
+        ),
+        (
+            broken(&|c| drop(named(c, "new").as_object_mut().unwrap().remove("deadline"))),
+            "missing field `deadline`",
+        ),
+        (
+            broken(&|c| drop(named(c, "new").as_object_mut().unwrap().remove("gain"))),
+            "settings.classes[0].gain is missing",
+        ),
+        (broken(&|c| named(c, "new")["name"] = json!("read")), "'read' stands there twice"),
+        (
+            broken(&|c| c["settings"]["limits"]["try_limit"] = json!(0)),
+            "limits.try_limit: 0 is no number of attempts",
+        ),
+        (
+            broken(&|c| c["settings"]["limits"]["try_limit"] = json!(null)),
+            "settings.limits.try_limit is missing",
+        ),
+        (
+            broken(&|c| drop(c["settings"]["limits"].as_object_mut().unwrap().remove("try_limit"))),
+            "settings.limits.try_limit is missing",
+        ),
+        (broken(&|c| drop(c.as_object_mut().unwrap().remove("settings"))), "settings is missing"),
+    ] {
+        sidecar.reload(&file);
+        errors += 1;
+        figure_becomes(console, "load_errors", errors);
+        sidecar.logged(said);
+        assert_eq!(sidecar.ask(new).status(), 200, "{said}");
+    }
+    assert_eq!(figure(console, "loads"), 1);
+}
+
+/// A listening socket that the processes under test inherit.
+fn held() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind(own_address()).unwrap();
+    socket2::SockRef::from(&listener).set_cloexec(false).unwrap();
+    let at = listener.local_addr().unwrap();
+    (listener, at)
+}
+
+fn on(listener: &TcpListener, at: SocketAddr, known: Vec<Value>) -> (Setup, SocketAddr) {
+    let mut setup = Setup::new(known).set("/listen", json!(at.to_string()));
+    setup.env.push(("EDGE_INHERITED_FD", listener.as_raw_fd().to_string()));
+    with_console(setup)
+}
+
+/// Guards a new version under load: no request meets a refused, reset or unread connection.
+#[test]
+fn a_second_process_takes_over_and_no_request_is_lost() {
+    let server = Server::start(|_, _| ok("x"));
+    let (listener, at) = held();
+    let known = vec![entry("s1", server.address, "up")];
+    let (setup, _) = on(&listener, at, known.clone());
+    let old = setup.start();
+    let mut kept = old.connect();
+    kept.send(&read("k0"));
+    assert_eq!(kept.answer().status(), 200);
+    let stop = std::sync::atomic::AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let asks = |worker: usize| {
+            let mut asked = 0;
+            while !stop.load(std::sync::atomic::Ordering::SeqCst) {
+                let mut client = TcpStream::connect(at).unwrap();
+                client.set_read_timeout(Some(PATIENCE)).unwrap();
+                let id = format!("w{worker}-{asked}");
+                let request = read(&id).replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+                client.write_all(request.as_bytes()).unwrap();
+                let mut answer = String::new();
+                client.read_to_string(&mut answer).unwrap();
+                assert!(answer.starts_with("HTTP/1.1 200"), "{id}: {answer}");
+                asked += 1;
+            }
+            asked
+        };
+        let workers: Vec<_> = (0..4).map(|n| scope.spawn(move || asks(n))).collect();
+        let (setup, console) = on(&listener, at, known);
+        // Its socket answers from the start on: the old process serves it.
+        let new = setup.spawn();
+        new.logged("listening on");
+        assert_eq!(call(console, b"status\n"), "YES active\n");
+        old.signal("TERM");
+        // Who holds a connection of the old one is served on it, and told to go.
+        kept.send(&read("k1"));
+        assert_eq!(kept.answer().header("connection"), Some("close"));
+        let (status, log) = old.end();
+        assert!(status.success(), "{log}");
+        let before = figure(console, "upstream_tries");
+        let end = Instant::now() + PATIENCE;
+        while figure(console, "upstream_tries") < before + 100 {
+            assert!(Instant::now() < end, "the new process serves nobody");
+        }
+        stop.store(true, std::sync::atomic::Ordering::SeqCst);
+        assert!(workers.into_iter().map(|w| w.join().unwrap()).sum::<usize>() > 100);
+        drop(new);
+    });
+}
+
+#[test]
+fn what_is_told_wrong_ends_the_start_and_disturbs_nobody() {
+    let (listener, at) = held();
+    let (setup, console) = on(&listener, at, vec![]);
+    let first = setup.start();
+    let fails = |setup: Setup, said: &str| {
+        let (status, log) = setup.spawn().end();
+        assert!(!status.success() && log.contains(said), "{said} is not in {log}");
+    };
+    for (fd, said) in [
+        ("four", "EDGE_INHERITED_FD: 'four' is no descriptor"),
+        ("1", "EDGE_INHERITED_FD: '1' is no descriptor"),
+        ("999", "EDGE_INHERITED_FD: 999 is no open descriptor"),
+    ] {
+        let mut setup = Setup::new(vec![]);
+        setup.env.push(("EDGE_INHERITED_FD", fd.to_owned()));
+        fails(setup, said);
+    }
+    let (setup, _) = on(&listener, own_address(), vec![]);
+    fails(setup, "right would be");
+    let in_use = json!(console.to_string());
+    fails(Setup::new(vec![]).set("/console", in_use), &format!("console: '{console}' can't be listened on"));
+    let same = Setup::new(vec![]);
+    let listen = same.config["listen"].clone();
+    fails(same.set("/console", listen), "is where clients connect");
+    fails(Setup::new(vec![]).set("/console", json!("here")), "console: 'here' is not an address and port");
+    assert_eq!(call(console, b"status\n"), "YES active\n");
+    drop(first);
+}
