--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -1,4 +1,8 @@
-//! The inherited listener: the descriptor that the platform opened and every process of one sidecar shares.
+//! What processes of one sidecar share: the listener that the platform opened, and who else of them runs.
+
+mod presence;
+
+pub use presence::Presence;
 
 use anyhow::{Context, Result, bail};
 use socket2::Socket;
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -569,7 +569,7 @@
     /// that connect and say nothing, or asked once and stay, keep nobody out.
     fn seat(self: &Rc<Clients>, permit: OwnedSemaphorePermit) -> Seat {
         let held = self.seats.borrow().values().filter(|state| !state.closing.get()).count();
-        let over = held >= self.own.client_connections && !self.make_room(Instant::now());
+        let over = held >= self.own.clients_now() && !self.make_room(Instant::now());
         let state = Rc::new(ClientState::new(over));
         let number = self.next.replace(self.next.get() + 1);
         self.seats.borrow_mut().insert(number, state.clone());
@@ -578,7 +578,7 @@
 
     /// Three quarters of the places are taken.
     fn crowded(&self) -> bool {
-        4 * self.seats.borrow().len() >= 3 * self.own.client_connections.max(4)
+        4 * self.seats.borrow().len() >= 3 * self.own.clients_now().max(4)
     }
 
     fn make_room(&self, now: Instant) -> bool {
--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -220,7 +220,12 @@
         Box::pin(async move {
             let uri = info.request().clone();
             let endpoint = authority(&uri).ok_or(ConnectError::Unresolved)?;
-            let permit = dial.means.sockets.clone().try_acquire_owned().map_err(|_| {
+            let (own, sockets) = (&dial.means.own, &dial.means.sockets);
+            // With another process beside this one a part of the places is its.
+            let open = own.server_connections.saturating_sub(sockets.available_permits());
+            let permit =
+                if open < own.servers_now() { sockets.clone().try_acquire_owned().ok() } else { None };
+            let permit = permit.ok_or_else(|| {
                 let line = format!("no connection to {endpoint}: the bound on server connections is reached");
                 seldom!(dial.means.full, warn, line);
                 ConnectError::Io(io::Error::other(Unsent("the bound on server connections is reached")))
--- a/crates/http/src/own.rs
+++ b/crates/http/src/own.rs
@@ -1,7 +1,9 @@
 //! The figures of the HTTP side. Read and given defaults by the assembly; nothing here is decided.
 
 use dunlincleat_directory::Figures;
+use std::cell::Cell;
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Bounds and times of clients' connections, connections to servers and calls of discovery.
@@ -31,4 +33,24 @@
     pub watch: Figures,
     /// The file in which the list is kept, where a disk lasts.
     pub list_file: Option<PathBuf>,
+    /// Another process of this sidecar runs: each keeps to half of the bounds on connections.
+    pub halved: Rc<Cell<bool>>,
+}
+
+impl Own {
+    /// Connections that clients may hold now.
+    #[must_use]
+    pub fn clients_now(&self) -> usize {
+        self.part(self.client_connections)
+    }
+
+    /// Connections to servers that may be open now.
+    #[must_use]
+    pub fn servers_now(&self) -> usize {
+        self.part(self.server_connections)
+    }
+
+    fn part(&self, bound: usize) -> usize {
+        if self.halved.get() { (bound / 2).max(1) } else { bound }
+    }
 }
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -336,6 +336,7 @@
             answer_stall: millis("answer_stall_ms", (aim / 4).max(1), 1)?,
             watch,
             list_file,
+            halved: Rc::default(),
         };
         let accept_after_term = millis("accept_after_term_ms", 600, 0)?;
         let end_after_term = millis("end_after_term_ms", longest + 600, 1)?;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -30,7 +30,7 @@
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// From the order to stand by until idle connections are closed: the front asks ten times a second, and sends nothing
 /// new 0.2 s after it was told no.
@@ -73,6 +73,13 @@
         }
         None => front::Listener::Own(config.listen),
     };
+    if matches!(listener, front::Listener::Shared(_)) {
+        // Two processes of one sidecar are one by its limits.
+        match dunlincleat_handover::Presence::take(&std::env::temp_dir(), &config.name) {
+            Ok(presence) => drop(actix_rt::spawn(beside_another(presence, config.own.clone()))),
+            Err(error) => tracing::warn!("another process of this sidecar will not be seen: {error:#}"),
+        }
+    }
     let metrics = Arc::new(Metrics::default());
     let times = Times { notice: NOTICE, accept: config.accept_after_term };
     let lifecycle = Arc::new(Lifecycle::new(Machine::new(std::time::Instant::now(), times)));
@@ -138,6 +145,24 @@
     Ok(())
 }
 
+/// How often it is looked at whether another process of this sidecar runs.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Keeps to half of the bounds for as long as another process of this sidecar runs.
+async fn beside_another(presence: dunlincleat_handover::Presence, own: Rc<Own>) {
+    loop {
+        let other = presence.accompanied();
+        if own.halved.replace(other) != other {
+            let (clients, servers) = (own.clients_now(), own.servers_now());
+            let is = if other { "runs" } else { "runs no more" };
+            tracing::info!(
+                "another process of this sidecar {is}: {clients} connections of clients, {servers} to servers"
+            );
+        }
+        sleep(LOOK).await;
+    }
+}
+
 /// What a reload reaches.
 struct Reload {
     /// The operator's file that the command line names, before all else.
--- a/crates/sidecar/tests/operators.rs
+++ b/crates/sidecar/tests/operators.rs
@@ -264,7 +264,8 @@
 fn on(listener: &TcpListener, at: SocketAddr, known: Vec<Value>) -> (Setup, SocketAddr) {
     let mut setup = Setup::new(known).set("/listen", json!(at.to_string()));
     setup.env.push(("EDGE_INHERITED_FD", listener.as_raw_fd().to_string()));
-    with_console(setup)
+    // The name is that of the presence, in a folder that tests of this run share.
+    with_console(setup.set("/name", json!(at.to_string())))
 }
 
 /// Guards a new version under load: no request meets a refused, reset or unread connection.
@@ -301,12 +302,15 @@
         let new = setup.spawn();
         new.logged("listening on");
         assert_eq!(call(console, b"status\n"), "YES active\n");
+        old.logged("another process of this sidecar runs: ");
+        new.logged("another process of this sidecar runs: ");
         old.signal("TERM");
         // Who holds a connection of the old one is served on it, and told to go.
         kept.send(&read("k1"));
         assert_eq!(kept.answer().header("connection"), Some("close"));
         let (status, log) = old.end();
         assert!(status.success(), "{log}");
+        new.logged("another process of this sidecar runs no more: ");
         let before = figure(console, "upstream_tries");
         let end = Instant::now() + PATIENCE;
         while figure(console, "upstream_tries") < before + 100 {
