--- /dev/null
+++ b/crates/engine/tests/passing.rs
@@ -0,0 +1,128 @@
+//! Answers that are passed on as they come, and settings that change: the engine's part, on a stepped clock.
+
+use dunlincleat::api::{Attempt, ListKind, RequestId, ServerId, Span, State, Status, Time};
+use dunlincleat_directory::{Delivery, Entry};
+use dunlincleat_engine::{Answer, Ask, Ended, Engine, Input, Output};
+use dunlincleat_settings::Site;
+use std::sync::Arc;
+
+const START: u64 = 5_000_000_000;
+
+fn site(most: u32) -> Site {
+    let text = format!(
+        r#"{{"classes":[{{"name":"a","aim":300000,"deadline":740000,"semantics":"retryable"}}],
+            "limits":{{"try_limit":{most},"cancel":true}},"safety":{{}}}}"#
+    );
+    dunlincleat_settings::read(&text).unwrap()
+}
+
+struct World {
+    now: u64,
+    engine: Engine<u64, u64>,
+    attempts: Vec<(u64, Attempt, ServerId)>,
+    answers: Vec<(u64, Answer<u64>)>,
+    cancels: usize,
+}
+
+impl World {
+    fn new() -> World {
+        let engine = Engine::new(&site(3), 7, 100);
+        let (attempts, answers) = (Vec::new(), Vec::new());
+        let mut world = World { now: START, engine, attempts, answers, cancels: 0 };
+        let entries = (1..=4).map(|n| Entry {
+            uid: format!("s{n}"),
+            endpoint: Some(([127, 0, 0, 1], n).into()),
+            zone: String::new(),
+            model: String::new(),
+            cell: 0,
+            state: State::Ready,
+            weight: 1.0,
+            boot_ms: 0,
+        });
+        let entries = entries.collect();
+        world.tell(Input::Listed(Delivery { kind: ListKind::Cached, rev: 1, entries, odd: Vec::new() }));
+        world
+    }
+
+    fn tell(&mut self, input: Input<u64, u64>) {
+        let mut out = Vec::new();
+        self.now += 1000;
+        self.engine.input(Time(self.now), input, &mut out);
+        for output in out {
+            match output {
+                Output::Attempt { id, attempt, server, .. } => self.attempts.push((id.0, attempt, server)),
+                Output::Answer { id, answer } => self.answers.push((id.0, answer)),
+                Output::Cancel { .. } => self.cancels += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn ask(&mut self, id: u64) -> (Attempt, ServerId) {
+        let ask = Ask {
+            class: 0,
+            tenant: 0,
+            wait: Span(740_000),
+            hint: None,
+            key: None,
+            repeat: false,
+            rule: None,
+        };
+        let received = Time(self.now);
+        self.tell(Input::Request { id: RequestId(id), ask, received, payload: id });
+        let (of, attempt, server) = *self.attempts.last().unwrap();
+        assert_eq!(of, id);
+        (attempt, server)
+    }
+
+    fn ended(&mut self, id: u64, (attempt, server): (Attempt, ServerId), status: Status) {
+        self.tell(Input::Ended { id: RequestId(id), attempt, server, ended: Ended::unsent(status) });
+    }
+}
+
+/// Guards the one final answer: an answer that began is it, is not called off by itself, and its later end, whatever it
+/// is, brings neither another answer nor another attempt.
+#[test]
+fn an_answer_that_began_is_final_and_its_attempt_ends_once() {
+    for end in [Status::Ok, Status::Reset, Status::Cancelled] {
+        for gone in [false, true] {
+            let mut world = World::new();
+            let (attempt, server) = world.ask(1);
+            let ended = Ended { status: Status::Ok, latency: Span(900), load: Vec::new(), body: Some(1) };
+            world.tell(Input::Began { id: RequestId(1), attempt, server, ended });
+            assert_eq!(world.answers, [(1, Answer::Served(1))]);
+            assert_eq!((world.cancels, world.engine.in_hand()), (0, 1), "its transport is not done");
+            if gone {
+                world.tell(Input::Gone(RequestId(1)));
+            }
+            world.ended(1, (attempt, server), end);
+            assert_eq!((world.answers.len(), world.attempts.len(), world.engine.in_hand()), (1, 1, 0));
+            let tally = world.engine.take_tally();
+            assert_eq!((tally.served, tally.gone), (1, 0));
+        }
+    }
+}
+
+/// Guards the number of attempts: that of the settings under which a request was taken.
+#[test]
+fn requests_in_hand_keep_their_number_of_attempts() {
+    let mut world = World::new();
+    let before = world.ask(1);
+    world.tell(Input::Settings(Arc::new(site(1))));
+    let after = world.ask(2);
+    world.ended(1, before, Status::Reset);
+    world.ended(2, after, Status::Reset);
+    let attempts = |id| world.attempts.iter().filter(|(of, ..)| *of == id).count();
+    assert_eq!((attempts(1), attempts(2)), (2, 1));
+    assert_eq!(world.answers, [(2, Answer::Refused { retry_after: None })]);
+}
+
+#[test]
+fn known_and_avoided_servers_are_told() {
+    let mut world = World::new();
+    assert_eq!((world.engine.listed_now(), world.engine.avoided(Time(world.now))), (4, 0));
+    let at = world.ask(1);
+    world.ended(1, at, Status::ConnectFailed);
+    assert_eq!(world.engine.avoided(Time(world.now)), 1);
+    assert_eq!(world.engine.avoided(Time(world.now + 60_000_000)), 0, "a question of the moment");
+}
--- a/crates/http/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -491,7 +491,13 @@
 /// Passes the rest of an answer on as fast as its client reads: what does not fit is not read from the server.
 async fn pass_on(response: &mut awc::ClientResponse, client: &mpsc::Sender<Part>, wire: &Wire) -> Status {
     loop {
-        let part = match response.next().await {
+        let part = tokio::select! {
+            biased;
+            part = response.next() => part,
+            // Its client has left: the connection is given back at once, not when the server speaks again.
+            () = client.closed() => return Status::Cancelled,
+        };
+        let part = match part {
             Some(Ok(part)) => Part::Bytes(part),
             None if wire.whole() => Part::End,
             Some(Err(_)) | None => return Status::Reset,
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -170,3 +170,37 @@
         assert!(advice.is_some() == most.is_some() && advice <= most);
     }
 }
+
+/// Guards requests in hand when settings change: one that a new file made unsafe, or gave fewer attempts, goes on as
+/// it was taken.
+#[test]
+fn open_requests_keep_their_class_and_attempts_under_new_settings() {
+    let mut world = World::new(settings(), &members(8));
+    world.ask(1, SAFE, Span(700 * MS));
+    let mut next = settings();
+    next.classes[SAFE as usize].retired = true;
+    next.classes.push(class(Effect::Unsafe));
+    next.limits.max_attempts = 2;
+    world.event(Event::Settings { set: &next });
+    let new = next.classes.len() as u32 - 1;
+    world.set.classes = next.classes;
+    for _ in 0..2 {
+        world.pass(Span(5 * MS));
+        world.end(1, Status::Reset, &[]);
+    }
+    assert_eq!(
+        (world.attempts_of(1), world.answer_of(1)),
+        (3, None),
+        "repeated as before, beyond the new number"
+    );
+    world.ask(2, new, Span(700 * MS));
+    world.pass(Span(5 * MS));
+    world.end(2, Status::Reset, &[]);
+    assert_eq!((world.attempts_of(2), world.answer_of(2)), (1, Some("failed")));
+    world.ask(3, KEYED_ALL, Span(700 * MS));
+    for _ in 0..2 {
+        world.pass(Span(5 * MS));
+        world.end(3, Status::Reset, &[]);
+    }
+    assert_eq!((world.attempts_of(3), world.answer_of(3)), (2, Some("refused")));
+}
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -320,3 +320,45 @@
     let got = world.serve(id + 1, 100, |_| Vec::new());
     assert!(got.get(&1).is_some_and(|n| *n > 10), "{got:?}");
 }
+
+/// Guards against slow bodies: counted as load before a server had them, they had requests refused at idle servers,
+/// which were thought silent too.
+#[test]
+fn a_request_still_being_written_is_neither_load_nor_silence_nor_time() {
+    let play = |told: bool| {
+        let mut world = World::new(counting(), &members(2));
+        world.serve(0, 40, |_| vec![0.0, 0.0, 0.1]);
+        for id in 100..130 {
+            world.ask(id, UNSAFE, Span(700 * MS));
+            if told && world.attempts_of(id) > 0 {
+                let server = world.server_of(id);
+                world.event(Event::Uploads { id: RequestId(id), server, over: false });
+            }
+        }
+        let out = (100..130).filter(|id| world.attempts_of(*id) > 0).count();
+        world.ask(200, UNSAFE, Span(700 * MS));
+        world.pass(Span(15 * MS));
+        (world, out)
+    };
+    let (world, out) = play(false);
+    assert!(out < 30 && world.answer_of(200) == Some("refused"), "without the word they fill both servers");
+    let (mut world, out) = play(true);
+    assert_eq!((out, world.attempts_of(200)), (30, 1));
+    world.end(200, Status::Ok, &[0.0, 0.0, 0.1]);
+    let silent = |world: &World| world.said.iter().any(|a| matches!(a, Action::Log { .. }));
+    // Far longer than three mean delays: nothing is due from either server.
+    world
+        .asked
+        .values_mut()
+        .flat_map(|a| &mut a.attempts)
+        .for_each(|a| a.until = a.until + Span(10_000 * MS));
+    world.asked.values_mut().for_each(|a| a.deadline = a.deadline + Span(10_000 * MS));
+    world.pass(Span(2_000 * MS));
+    assert!(!silent(&world));
+    // From its last byte on it counts, and its time begins: it never ran, and may be tried again.
+    let server = world.server_of(100);
+    world.event(Event::Uploads { id: RequestId(100), server, over: true });
+    world.pass(Span(10 * MS));
+    world.end(100, Status::Full, &[]);
+    assert_eq!((world.attempts_of(100), world.answer_of(100)), (2, None));
+}
