--- a/deploy/regression.sh
+++ b/deploy/regression.sh
@@ -19,7 +19,7 @@
     echo "== $name"
     said=$("$@" ${quick:+"$quick"} --why "$why: $name" 2>&1) || true
     echo "$said"
-    figure=$(echo "$said" | grep -E "score of the real nodes|figure|^score" | tail -1)
+    figure=$(echo "$said" | grep -E "score of the real nodes|^quick estimate|^score|^site " | tail -1)
     broken=$(echo "$said" | grep -c BROKEN || true)
     printf '%-22s | %s | %s broken\n' "$name" "${figure:-no figure}" "$broken" >>"$table"
 }
