--- a/src/rules.rs
+++ b/src/rules.rs
@@ -319,8 +319,9 @@
                 self.on_outcome(now, id, closed, todo);
                 self.serve_held(now, 1, todo);
             }
-            // A server has nothing of a request that is still being written to it: its load and silence, and the
-            // request's own time, begin with the last byte. Counted before, slow bodies had idle servers refused.
+            // A server has nothing of a request that is still being written to it: its load and silence, and
+            // the request's own time, begin with the last byte. Counted before, slow bodies had idle servers
+            // refused.
             Event::Uploads { id, server, over } => {
                 self.server_mut(server).into_iter().for_each(|s| s.holds(now, over));
                 if let Some(open) = self.open.get_mut(&id).filter(|_| over) {
