--- a/crates/engine/benches/path.rs
+++ b/crates/engine/benches/path.rs
@@ -63,15 +63,7 @@
         self.now += 1000;
         self.id += 1;
         let (now, id) = (Time(self.now), RequestId(self.id));
-        let ask = Ask {
-            class: 0,
-            tenant: 0,
-            wait: Span(740_000),
-            hint: None,
-            key: None,
-            repeat: false,
-            rule: self.rule.clone(),
-        };
+        let ask = Ask { wait: Span(740_000), rule: self.rule.clone(), ..Ask::default() };
         self.out.clear();
         self.engine.wake(now, &mut self.out);
         self.out.clear();
--- a/crates/engine/src/core.rs
+++ b/crates/engine/src/core.rs
@@ -22,7 +22,7 @@
 use std::sync::Arc;
 
 /// What a front knows of a request beside its payload.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Ask {
     /// The number of its class.
     pub class: u32,
@@ -136,9 +136,12 @@
     /// A call of discovery failed, or the watch ended, where lists come on request.
     ListFailed,
     /// Other settings; requests in hand keep their class and number of attempts.
-    Settings(Arc<Site>),
-    /// The same for the module that only watches, where there is one.
-    Watched(Arc<Settings>),
+    Settings {
+        /// Those to decide by.
+        site: Arc<Site>,
+        /// Those of the module that only watches, where there is one.
+        watched: Option<Settings>,
+    },
     /// New limits; requests in hand keep those that they were taken under.
     Rules(Arc<RuleSet>),
 }
@@ -462,7 +465,7 @@
                     self.event(now, slot, Event::Members { kind: ListKind::Failed, entries: &[] }, out);
                 }
             }
-            Input::Settings(site) => {
+            Input::Settings { site, watched } => {
                 self.max_attempts = site.settings.limits.max_attempts;
                 self.cancel = site.settings.limits.cancel;
                 // A request may have been taken under the longer deadline.
@@ -470,10 +473,8 @@
                 for slot in self.pools.settle(&site, self.remembered) {
                     self.event(now, slot, Event::Settings { set: &site.settings }, out);
                 }
-            }
-            Input::Watched(settings) => {
-                if let Some(watch) = &mut self.watch {
-                    watch.adopt(now, &settings);
+                if let (Some(watch), Some(settings)) = (&mut self.watch, &watched) {
+                    watch.adopt(now, settings);
                 }
             }
             Input::Rules(rules) => {
--- a/crates/engine/src/shell.rs
+++ b/crates/engine/src/shell.rs
@@ -138,14 +138,9 @@
         self.tell(Msg::Input(Input::ListFailed));
     }
 
-    /// Other settings, before any request under them.
-    pub fn settings(&self, site: Arc<Site>) {
-        self.tell(Msg::Input(Input::Settings(site)));
-    }
-
-    /// Other settings that are only watched.
-    pub fn watched(&self, settings: Arc<Settings>) {
-        self.tell(Msg::Input(Input::Watched(settings)));
+    /// Other settings, and those that are only watched, before any request under them.
+    pub fn settings(&self, site: Arc<Site>, watched: Option<Settings>) {
+        self.tell(Msg::Input(Input::Settings { site, watched }));
     }
 
     /// New limits. Those under whom requests come next are to be told first.
@@ -284,8 +279,7 @@
             | Input::Uploads { .. }
             | Input::Probed { .. }
             | Input::ListFailed
-            | Input::Settings(_)
-            | Input::Watched(_)
+            | Input::Settings { .. }
             | Input::Rules(_) => {}
         }
         let listed = matches!(input, Input::Listed(_));
--- a/crates/engine/tests/passing.rs
+++ b/crates/engine/tests/passing.rs
@@ -59,15 +59,7 @@
     }
 
     fn ask(&mut self, id: u64) -> (Attempt, ServerId) {
-        let ask = Ask {
-            class: 0,
-            tenant: 0,
-            wait: Span(740_000),
-            hint: None,
-            key: None,
-            repeat: false,
-            rule: None,
-        };
+        let ask = Ask { wait: Span(740_000), ..Ask::default() };
         let received = Time(self.now);
         self.tell(Input::Request { id: RequestId(id), ask, received, payload: id });
         let (of, attempt, server) = *self.attempts.last().unwrap();
@@ -108,7 +100,7 @@
 fn requests_in_hand_keep_their_number_of_attempts() {
     let mut world = World::new();
     let before = world.ask(1);
-    world.tell(Input::Settings(Arc::new(site(1))));
+    world.tell(Input::Settings { site: Arc::new(site(1)), watched: None });
     let after = world.ask(2);
     world.ended(1, before, Status::Reset);
     world.ended(2, after, Status::Reset);
--- a/crates/fleet/src/baseline.rs
+++ b/crates/fleet/src/baseline.rs
@@ -184,8 +184,7 @@
             | Input::Uploads { .. }
             | Input::Probed { .. }
             | Input::ListFailed
-            | Input::Settings(_)
-            | Input::Watched(_)
+            | Input::Settings { .. }
             | Input::Rules(_) => {}
         }
     }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -212,10 +212,8 @@
             self.list.moved(new.discovery);
         }
         // The engine hears of all of it before any request under it.
-        self.engine.settings(site.clone());
-        if let Some(watched) = &new.watch {
-            self.engine.watched(Arc::new(beside(watched.clone(), &new.site, &site)));
-        }
+        let watched = new.watch.clone().map(|watched| beside(watched, &new.site, &site));
+        self.engine.settings(site.clone(), watched);
         let had = self.in_force.borrow().rules.is_some();
         let rules = match rules {
             // No file is named any more: nothing is narrowed.
