The console keeps its lines rare by the project's own Seldom, on one local task set

Cause: the console had written the rate limit of log lines again, behind a mutex, and counted its callers by atomics though its thread has one runtime. Change: Seldom moved from http to status, below both; console tasks are local.

--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -7,16 +7,17 @@
 
 use anyhow::{Context, Result};
 use dunlincleat_status::lifecycle::Event;
-use dunlincleat_status::{Lifecycle, Metrics};
+use dunlincleat_status::{Lifecycle, Metrics, Seldom, seldom};
 use line::{Call, Heard, hear};
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
 /// Connections at a time; at the bound the oldest that has sent no whole call goes.
@@ -26,8 +27,6 @@
 /// How long an answer may take to be read, and what is sent behind a call to be passed over.
 const ANSWER: Duration = Duration::from_secs(1);
 const BEHIND: Duration = Duration::from_millis(200);
-/// The least time between two lines of the log on wrong calls.
-const SELDOM: Duration = Duration::from_secs(1);
 
 /// Opens the console's listener.
 ///
@@ -49,7 +48,8 @@
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().context("the console")?;
     let serve = move || {
-        if let Err(error) = runtime.block_on(serve(listener, Arc::new(Console { lifecycle, metrics }))) {
+        let console = Rc::new(Console { lifecycle, metrics, wrong: Seldom::default() });
+        if let Err(error) = LocalSet::new().block_on(&runtime, serve(listener, console)) {
             tracing::error!("the console ended: {error:#}");
         }
     };
@@ -60,17 +60,18 @@
 struct Console {
     lifecycle: Arc<Lifecycle>,
     metrics: Arc<Metrics>,
+    /// The line of the log for wrong calls.
+    wrong: Seldom,
 }
 
 /// A connection: whether its call has come, and what ends it.
 struct Caller {
-    called: Arc<AtomicBool>,
+    called: Rc<Cell<bool>>,
     task: AbortHandle,
 }
 
-async fn serve(listener: TcpListener, console: Arc<Console>) -> Result<()> {
+async fn serve(listener: TcpListener, console: Rc<Console>) -> Result<()> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
-    let wrong = Arc::new(Seldom::default());
     let mut callers: VecDeque<Caller> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
@@ -83,15 +84,15 @@
         };
         callers.retain(|caller| !caller.task.is_finished());
         if callers.len() >= CONNECTIONS {
-            let silent = callers.iter().position(|caller| !caller.called.load(Ordering::Relaxed));
+            let silent = callers.iter().position(|caller| !caller.called.get());
             if let Some(caller) = callers.remove(silent.unwrap_or(0)) {
                 caller.task.abort();
             }
         }
-        let called = Arc::new(AtomicBool::new(false));
-        let (console, wrong, heard) = (console.clone(), wrong.clone(), called.clone());
-        let task = tokio::spawn(async move {
-            if let Err(error) = call(stream, &console, &wrong, &heard).await {
+        let called = Rc::new(Cell::new(false));
+        let (console, heard) = (console.clone(), called.clone());
+        let task = spawn_local(async move {
+            if let Err(error) = call(stream, &console, &heard).await {
                 tracing::debug!("console: {error}");
             }
         });
@@ -100,22 +101,16 @@
 }
 
 /// One call and its answer.
-async fn call(
-    mut stream: TcpStream,
-    console: &Console,
-    wrong: &Seldom,
-    called: &AtomicBool,
-) -> std::io::Result<()> {
+async fn call(mut stream: TcpStream, console: &Console, called: &Cell<bool>) -> std::io::Result<()> {
     let heard =
         timeout(CALL, read(&mut stream)).await.unwrap_or(Ok(Heard::Wrong("the call did not end in time")))?;
-    called.store(true, Ordering::Relaxed);
+    called.set(true);
     let answer = match heard {
         Heard::Call(call) => console.answer(call),
         Heard::Partial => return Ok(()),
         Heard::Wrong(why) => {
-            if wrong.due() {
-                tracing::info!("console: {why}");
-            }
+            let line = format!("console: {why}");
+            seldom!(console.wrong, info, line);
             format!("NO {why}\n")
         }
     };
@@ -172,18 +167,3 @@
         }
     }
 }
-
-/// A line of the log that each call could bring.
-#[derive(Default)]
-struct Seldom(std::sync::Mutex<Option<Instant>>);
-
-impl Seldom {
-    fn due(&self) -> bool {
-        let Ok(mut last) = self.0.lock() else { return false };
-        let due = last.is_none_or(|last| last.elapsed() >= SELDOM);
-        if due {
-            *last = Some(Instant::now());
-        }
-        due
-    }
-}
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -3,7 +3,6 @@
 
 use crate::message::{Body, HEALTH, Malformed, Parts, Request, Rest, class_of, encode, read_body};
 use crate::own::Own;
-use crate::seldom::{Seldom, seldom};
 use crate::{Answer, Handle};
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::error::{DispatchError, PayloadError};
@@ -18,7 +17,7 @@
 use dunlincleat_settings::Site;
 use dunlincleat_status::lifecycle;
 use dunlincleat_status::metrics::{Ends, InProgress};
-use dunlincleat_status::{Lifecycle, Metrics, Stage};
+use dunlincleat_status::{Lifecycle, Metrics, Seldom, Stage, seldom};
 use futures_util::StreamExt;
 use futures_util::stream::{self, LocalBoxStream};
 use rustc_hash::{FxHashMap, FxHashSet};
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod message;
 pub mod own;
 pub mod peer;
-mod seldom;
 mod written;
 
 use std::rc::Rc;
--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -4,14 +4,13 @@
 use crate::frame::{Frame, Spoilt};
 use crate::message::authority;
 use crate::own::Own;
-use crate::seldom::{Seldom, seldom};
 use crate::written::Written;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::Service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
 use awc::http::Uri;
 use dunlincleat::api::Status;
-use dunlincleat_status::Metrics;
+use dunlincleat_status::{Metrics, Seldom, seldom};
 use futures_util::future::LocalBoxFuture;
 use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
--- a/crates/http/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -7,7 +7,6 @@
 use crate::line::{Gate, Line, Means, Unsent, Wire, ended_idle};
 use crate::message::{Body, Cut, Part, Parts, Reply, Request, probe_uri, read_body};
 use crate::own::Own;
-use crate::seldom::{Seldom, seldom};
 use crate::written::Written;
 use crate::{Ended, Handle};
 use awc::error::SendRequestError;
@@ -15,7 +14,7 @@
 use dunlincleat::api::{Attempt, RequestId, ServerId, Span, State, Status};
 use dunlincleat_engine::SlotId;
 use dunlincleat_engine::shell::Transports;
-use dunlincleat_status::Metrics;
+use dunlincleat_status::{Metrics, Seldom, seldom};
 use futures_util::StreamExt;
 use futures_util::future::{AbortHandle, Abortable, Aborted, LocalBoxFuture};
 use futures_util::stream::{self, FuturesUnordered};
--- a/crates/http/src/seldom.rs
+++ b/crates/status/src/seldom.rs
@@ -1,4 +1,4 @@
-//! Lines of the log that each request could bring.
+//! Lines of the log that each request or call could bring.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
@@ -26,6 +26,7 @@
 }
 
 /// Writes a line of the log once a second at most, with how often it was due since.
+#[macro_export]
 macro_rules! seldom {
     ($seldom:expr, $level:ident, $line:expr) => {
         if let Some(times) = $seldom.due() {
@@ -33,4 +34,3 @@
         }
     };
 }
-pub(crate) use seldom;
