Sending in stages: the body out, the answer held, the rest passed on; one form of a broken body

Cause: send() had grown to 130 lines with the hold loop and the upload's bookkeeping in it, Cut had one variant left, the type of a body's stream stood in five places, and unless_sent judged by what was written. Change: hold(), Sending and Coming named, Cut is Broken, unless_written; take() and the health answer in plain branches. Behaviour as before.

--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -1,7 +1,7 @@
 //! The server that the application speaks to: it accepts connections, takes requests, and gives each exactly
 //! one answer.
 
-use crate::message::{Body, HEALTH, Malformed, Parts, Request, Rest, class_of, encode, read_body};
+use crate::message::{Body, Coming, HEALTH, Malformed, Parts, Request, Rest, class_of, encode, read_body};
 use crate::own::Own;
 use crate::{Answer, Handle};
 use actix_http::body::{BodySize, BoxBody, MessageBody};
@@ -19,7 +19,7 @@
 use dunlincleat_status::metrics::{Ends, InProgress};
 use dunlincleat_status::{Lifecycle, Metrics, Seldom, Stage, seldom};
 use futures_util::StreamExt;
-use futures_util::stream::{self, LocalBoxStream};
+use futures_util::stream;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -51,7 +51,6 @@
 const UPLOAD_STALL: Duration = Duration::from_secs(5);
 /// How long a client that was turned away may send on.
 const DRAIN: Duration = Duration::from_secs(1);
-
 /// In standby, the age from which a connection that has sent nothing is closed: one that has just come is asked first.
 const SILENT: Duration = Duration::from_millis(500);
 
@@ -257,9 +256,10 @@
     // Under the settings that it came under: its class may be dropped meanwhile.
     let ends = front.ends(request.path());
     let mut response = if request.method() == Method::GET && request.path() == HEALTH {
-        match front.stage.borrow().ready() {
-            true => Response::with_body(StatusCode::OK, BoxBody::new("ok\n")),
-            false => Response::with_body(StatusCode::SERVICE_UNAVAILABLE, BoxBody::new("no\n")),
+        if front.stage.borrow().ready() {
+            Response::with_body(StatusCode::OK, BoxBody::new("ok\n"))
+        } else {
+            Response::with_body(StatusCode::SERVICE_UNAVAILABLE, BoxBody::new("no\n"))
         }
     } else if over {
         seldom!(front.full, warn, Crowd(&front.clients));
@@ -308,10 +308,7 @@
 }
 
 /// The rest of a request's body, as it comes; a client that stops in the middle has gone.
-fn uploading(
-    payload: Payload,
-    state: Option<Rc<ClientState>>,
-) -> LocalBoxStream<'static, Result<Bytes, PayloadError>> {
+fn uploading(payload: Payload, state: Option<Rc<ClientState>>) -> Coming {
     let parts = stream::unfold((payload, state), |(mut payload, state)| async move {
         let part = timeout(UPLOAD_STALL, payload.next()).await;
         let part = part.unwrap_or_else(|_| Some(Err(PayloadError::Incomplete(None))));
@@ -356,11 +353,8 @@
 
 impl Drop for Finish {
     fn drop(&mut self) {
-        if self.whole {
-            self.ends.passed.count()
-        } else {
-            self.ends.failed.count()
-        }
+        let count = if self.whole { &self.ends.passed } else { &self.ends.failed };
+        count.count();
         if let Some(state) = &self.state {
             state.enter(self.then);
         }
@@ -414,16 +408,12 @@
         };
         // Up to the bound a body is held, so that it can be sent again; of a longer one the rest goes to one server as it
         // comes.
-        let rest = match state {
-            Some(state) if whole => {
-                state.enter(Phase::InHand);
-                None
-            }
-            None if whole => None,
-            state => {
-                state.into_iter().for_each(|state| state.uploads.set(true));
-                Some(Rest::new(uploading(payload, state.cloned()), length))
-            }
+        let rest = if whole {
+            state.into_iter().for_each(|state| state.enter(Phase::InHand));
+            None
+        } else {
+            state.into_iter().for_each(|state| state.uploads.set(true));
+            Some(Rest::new(uploading(payload, state.cloned()), length))
         };
         // Its time counts from its last byte: a slow body once left none for the servers.
         let received = Instant::now();
--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -137,7 +137,7 @@
     }
 
     /// This status where the request was written to its last byte, else the one that says that nothing can have run.
-    pub fn unless_sent(&self, status: Status) -> Status {
+    pub fn unless_written(&self, status: Status) -> Status {
         let whole = self.sent.get() > 0 && self.written.get().is_none_or(|written| written.whole());
         if whole { status } else { Status::ConnectFailed }
     }
--- a/crates/http/src/list.rs
+++ b/crates/http/src/list.rs
@@ -2,7 +2,7 @@
 //! one task a watch, dropped with its entry in `tasks`, and tells the engine what the list has become.
 
 use crate::Handle;
-use crate::message::{Cut, list_uri, read_body, watch_uri};
+use crate::message::{Broken, list_uri, read_body, watch_uri};
 use crate::own::Own;
 use anyhow::Context;
 use awc::error::{ConnectError, SendRequestError};
@@ -214,7 +214,7 @@
                 let mut answer = call(client, list_uri(at)).await?;
                 let (body, whole) = read_body(&mut answer, LINE_BYTES)
                     .await
-                    .map_err(|Cut::Broken| Cause::Broke("within the whole list".to_owned()))?;
+                    .map_err(|Broken| Cause::Broke("within the whole list".to_owned()))?;
                 if !whole {
                     return Err(Cause::TooLong);
                 }
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -85,11 +85,14 @@
     End,
 }
 
+/// The parts of a request's body, as they come.
+pub type Coming = LocalBoxStream<'static, Result<Bytes, PayloadError>>;
+
 /// The part of a request's body that has not come yet. It can be read once: an attempt that failed before it read any
 /// of it leaves it to the next.
 pub struct Rest {
     /// Where it comes from.
-    parts: RefCell<LocalBoxStream<'static, Result<Bytes, PayloadError>>>,
+    parts: RefCell<Coming>,
     read: Cell<bool>,
     /// How long the whole body is, where that was told.
     pub length: Option<u64>,
@@ -97,7 +100,7 @@
 
 impl Rest {
     /// The rest of a body of this length.
-    pub fn new(parts: LocalBoxStream<'static, Result<Bytes, PayloadError>>, length: Option<u64>) -> Rest {
+    pub fn new(parts: Coming, length: Option<u64>) -> Rest {
         Rest { parts: RefCell::new(parts), read: Cell::new(false), length }
     }
 
@@ -129,11 +132,8 @@
     pub fn decode(head: &RequestHead, site: &Site, rules: Option<&RuleSet>) -> Result<Request, Malformed> {
         let bad = |what| Malformed { status: StatusCode::BAD_REQUEST, what, taken: true };
         let path = head.uri.path();
-        let class = class_of(path, site).ok_or(Malformed {
-            status: StatusCode::NOT_FOUND,
-            what: "no such class",
-            taken: true,
-        })?;
+        let unknown = Malformed { status: StatusCode::NOT_FOUND, what: "no such class", taken: true };
+        let class = class_of(path, site).ok_or(unknown)?;
         let settings = &site.settings.classes[class];
         let key = head.headers.get(&KEY).cloned();
         let method = match settings.effect {
@@ -218,7 +218,7 @@
         client: &awc::Client,
         server: SocketAddr,
         left: Duration,
-        rest: Option<LocalBoxStream<'static, Result<Bytes, PayloadError>>>,
+        rest: Option<Coming>,
     ) -> awc::SendClientRequest {
         let uri = format!("http://{server}{}", self.target);
         let request = client
@@ -316,13 +316,9 @@
     }
 }
 
-impl From<Cut> for Malformed {
-    fn from(cut: Cut) -> Malformed {
-        match cut {
-            Cut::Broken => {
-                Malformed { status: StatusCode::BAD_REQUEST, what: "the body broke off", taken: false }
-            }
-        }
+impl From<Broken> for Malformed {
+    fn from(Broken: Broken) -> Malformed {
+        Malformed { status: StatusCode::BAD_REQUEST, what: "the body broke off", taken: false }
     }
 }
 
@@ -386,22 +382,19 @@
     if readable && load.iter().any(|v| !v.is_nan()) { load } else { Vec::new() }
 }
 
-/// Why a body did not come whole.
+/// The connection of a body broke off.
 #[derive(Debug, PartialEq, Eq)]
-pub enum Cut {
-    /// Its connection broke off.
-    Broken,
-}
+pub struct Broken;
 
 /// Reads a body until it is whole or over so many bytes; tells whether it is whole.
 pub async fn read_body<E>(
     parts: &mut (impl Stream<Item = Result<Bytes, E>> + Unpin),
     most: usize,
-) -> Result<(Bytes, bool), Cut> {
+) -> Result<(Bytes, bool), Broken> {
     let mut whole = BytesMut::new();
     while whole.len() <= most {
         let Some(part) = parts.next().await else { return Ok((whole.freeze(), true)) };
-        let part = part.map_err(|_| Cut::Broken)?;
+        let part = part.map_err(|_| Broken)?;
         if whole.is_empty() {
             whole = BytesMut::from(part);
         } else {
--- a/crates/http/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -5,7 +5,7 @@
 //! own pool kept would stand idle until the next request, however old.
 
 use crate::line::{Gate, Line, Means, Unsent, Wire, ended_idle};
-use crate::message::{Body, Cut, Part, Parts, Reply, Request, probe_uri, read_body};
+use crate::message::{Body, Broken, Coming, Part, Parts, Reply, Request, Rest, probe_uri, read_body};
 use crate::own::Own;
 use crate::written::Written;
 use crate::{Ended, Handle};
@@ -236,7 +236,7 @@
                     let (mut ended, line) = match Abortable::new(sending, registration).await {
                         Ok(end) => end,
                         Err(Aborted) if wire.withdrawn() => (Ended::unsent(Status::Moot), None),
-                        Err(Aborted) => (Ended::unsent(wire.unless_sent(Status::Cancelled)), None),
+                        Err(Aborted) => (Ended::unsent(wire.unless_written(Status::Cancelled)), None),
                     };
                     if ended.latency == Span(0) {
                         ended.latency = Span(started.elapsed().as_micros() as u64);
@@ -346,6 +346,32 @@
     }
 }
 
+/// The body of an attempt, where it still came when the attempt began.
+struct Sending {
+    /// Until its last byte was handed on.
+    comes: RefCell<Option<Uploads>>,
+    /// When that was.
+    whole: Cell<Option<Instant>>,
+}
+
+impl Sending {
+    /// The rest of the body as awc reads it: with its end the attempt's own time begins.
+    fn parts(self: Rc<Sending>, rest: Rc<Rest>, wire: Rc<Wire>) -> Coming {
+        let parts = stream::poll_fn(move |cx| {
+            let part = ready!(rest.poll(cx));
+            if part.is_none() {
+                drop(self.comes.borrow_mut().take());
+                self.whole.set(Some(Instant::now()));
+                wire.last();
+            }
+            Poll::Ready(part)
+        });
+        parts.boxed_local()
+    }
+}
+
+/// How often it is looked at whether a body that is still coming has come.
+const UPLOAD_LOOK: Duration = Duration::from_millis(50);
 /// How long the beginning of an answer of untold length is held back to see its end, against how long it may stand
 /// still: one that breaks off or stops while it is held can be tried again.
 const HOLD: f64 = 4.0 / 3.0;
@@ -373,55 +399,21 @@
     if rest.as_ref().is_some_and(|rest| rest.read()) {
         return (Ended::unsent(Status::Moot), Some(line));
     }
-    let comes = Rc::new(RefCell::new(rest.is_some().then(|| Uploads::new(of, common))));
     let length = match &rest {
         Some(rest) => rest.length,
         None => Some(request.held().len() as u64),
     };
     line.wire.begin(Some(Written::new(length)));
-    let whole = Rc::new(Cell::new(None));
-    let rest = rest.map(|rest| {
-        let (comes, whole, wire) = (comes.clone(), whole.clone(), line.wire.clone());
-        let parts = stream::poll_fn(move |cx| {
-            let part = ready!(rest.poll(cx));
-            if part.is_none() {
-                drop(comes.borrow_mut().take());
-                whole.set(Some(Instant::now()));
-                wire.last();
-            }
-            Poll::Ready(part)
-        });
-        parts.boxed_local()
+    let body = Rc::new(Sending {
+        comes: RefCell::new(rest.is_some().then(|| Uploads::new(of, common))),
+        whole: Cell::new(None),
     });
+    let rest = rest.map(|rest| body.clone().parts(rest, line.wire.clone()));
     let exchange = async {
-        let mut response = request.encode(&line.client, endpoint, left, rest).await.map_err(failure)?;
+        let response = request.encode(&line.client, endpoint, left, rest).await.map_err(failure)?;
         let reply = Reply::decode(response.status(), response.headers(), &common.fields);
-        let most = common.means.own.body_bytes;
-        // What is known to be longer than the bound goes out with its first bytes.
-        let known = reply.length.is_some();
-        let most = if reply.length.is_some_and(|length| length > most as u64) { 0 } else { most };
-        let mut first = BytesMut::new();
-        let hold = Instant::now() + common.means.own.answer_stall.mul_f64(HOLD);
-        let end = loop {
-            let part = if known || first.is_empty() {
-                Ok(response.next().await)
-            } else {
-                timeout_at(hold, response.next()).await
-            };
-            match part {
-                Ok(Some(Ok(part))) => first.extend_from_slice(&part),
-                Ok(Some(Err(_))) => return Err(Status::Reset),
-                // Guards against half an answer served as a whole one: awc ends a body whose connection broke off
-                // without an error.
-                Ok(None) if line.wire.whole() => break true,
-                Ok(None) => return Err(Status::Reset),
-                Err(_) => break false,
-            }
-            if first.len() > most {
-                break false;
-            }
-        };
-        Ok::<_, Status>((reply, first.freeze(), (!end).then_some(response)))
+        let (first, rest) = hold(response, reply.length, &common.means.own, &line.wire).await?;
+        Ok::<_, Status>((reply, first, rest))
     };
     // Nothing was written in time: the connection did not come up, and nothing can have run.
     let connecting = async {
@@ -434,16 +426,15 @@
         }
         Status::ConnectFailed
     };
-    // The time of a body that is still coming begins with its last byte.
     let over = async {
-        while comes.borrow().is_some() {
+        while body.comes.borrow().is_some() {
             sleep(UPLOAD_LOOK).await;
             if line.wire.unsent() && Instant::now() >= until {
                 return;
             }
         }
         sleep_until(until).await;
-        if let Some(whole) = whole.get() {
+        if let Some(whole) = body.whole.get() {
             sleep_until(whole + left).await;
         }
     };
@@ -461,7 +452,7 @@
             (Ended { status: reply.status, latency: Span(0), load: reply.load, body: None }, line)
         }
         Some(Ok((reply, first, rest))) => {
-            let since = whole.get().unwrap_or(started);
+            let since = body.whole.get().unwrap_or(started);
             let latency = Span((since.elapsed().as_micros() as u64).max(1));
             let Reply { status, load, content_type, length } = reply;
             let Some(mut response) = rest else {
@@ -477,15 +468,44 @@
         }
         // One that broke off in the middle of its body never ran.
         Some(Err(Status::Reset)) if line.wire.spoilt().is_none() => {
-            (Ended::unsent(line.wire.unless_sent(Status::Reset)), None)
+            (Ended::unsent(line.wire.unless_written(Status::Reset)), None)
         }
         Some(Err(status)) => (Ended::unsent(judged(status, endpoint, &line.wire, common)), None),
-        None => (Ended::unsent(line.wire.unless_sent(Status::Timeout)), None),
+        None => (Ended::unsent(line.wire.unless_written(Status::Timeout)), None),
     }
 }
 
-/// How often it is looked at whether a body that is still coming has come.
-const UPLOAD_LOOK: Duration = Duration::from_millis(50);
+/// Holds an answer to its end, so that one that breaks off can be tried again, or until it has to be passed on: what
+/// is told to be longer than the bound from its first bytes, another once it is longer, or has come for too long. Gives
+/// what came, and the answer itself where more is to come.
+async fn hold(
+    mut response: awc::ClientResponse,
+    length: Option<u64>,
+    own: &Own,
+    wire: &Wire,
+) -> Result<(Bytes, Option<awc::ClientResponse>), Status> {
+    let most = if length.is_some_and(|length| length > own.body_bytes as u64) { 0 } else { own.body_bytes };
+    let until = Instant::now() + own.answer_stall.mul_f64(HOLD);
+    let mut first = BytesMut::new();
+    while first.len() <= most {
+        let part = if length.is_some() || first.is_empty() {
+            response.next().await
+        } else {
+            match timeout_at(until, response.next()).await {
+                Ok(part) => part,
+                Err(_) => break,
+            }
+        };
+        match part {
+            Some(Ok(part)) => first.extend_from_slice(&part),
+            // Guards against half an answer served as a whole one: awc ends a body whose connection broke off
+            // without an error.
+            None if wire.whole() => return Ok((first.freeze(), None)),
+            Some(Err(_)) | None => return Err(Status::Reset),
+        }
+    }
+    Ok((first.freeze(), Some(response)))
+}
 
 /// Passes the rest of an answer on as fast as its client reads: what does not fit is not read from the server.
 async fn pass_on(response: &mut awc::ClientResponse, client: &mpsc::Sender<Part>, wire: &Wire) -> Status {
@@ -547,7 +567,7 @@
     match read_body(&mut response, common.means.own.body_bytes).await {
         Ok((_, false)) => Err(Status::Error),
         Ok((body, true)) if wire.whole() => Ok(body),
-        Ok((_, true)) | Err(Cut::Broken) => Err(Status::Reset),
+        Ok((_, true)) | Err(Broken) => Err(Status::Reset),
     }
 }
 
