--- a/crates/fleet/src/audit.rs
+++ b/crates/fleet/src/audit.rs
@@ -111,6 +111,13 @@
         }
     }
 
+    /// A caller left before its time, or its instance ended under it: nothing is owed any more.
+    pub fn left(&mut self, id: u64) {
+        if let Some(request) = self.requests.get_mut(&id).filter(|request| request.answers == 0) {
+            request.answers = 1;
+        }
+    }
+
     /// The list told an instance of a node.
     pub fn told(&mut self, instance: u32, node: usize, start: u32, leaves: bool, now: u64) {
         if leaves {
--- /dev/null
+++ b/crates/fleet/src/discovery.rs
@@ -0,0 +1,257 @@
+//! The service that tells instances of the servers, with its limits: calls wait in turn, a queue holds so many, and each
+//! call is work whether or not its caller still waits. Pure: it is told of calls and changes and says who hears what, and
+//! when. It owns the open watches; one is given back by [`Service::close`] or when its instance ends.
+//!
+//! `crates/directory` stands on the other side, as it does in the sidecar: the way not taken drew a delay for each change
+//! and told the engine itself, and a call that was given up and asked again could not crowd anybody out.
+
+use crate::scenario::Discovery as Limits;
+use dunlincleat::api::State;
+use dunlincleat_directory::{Ask, Entry, Listing, WatchId};
+use rand::Rng;
+use rand::rngs::SmallRng;
+use std::collections::BTreeMap;
+
+/// A change, and which process of which node it is about, for whoever checks what was told.
+#[derive(Clone, Debug)]
+pub struct Word {
+    /// Its version.
+    pub rev: u64,
+    /// As it is told.
+    pub entry: Entry,
+    /// The node.
+    pub node: usize,
+    /// Which of its processes.
+    pub starts: u32,
+}
+
+/// A line that an instance will hear.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// When.
+    pub at: u64,
+    /// Which instance.
+    pub instance: u32,
+    /// On which watch.
+    pub watch: WatchId,
+    /// What; nothing for an empty line.
+    pub listing: Option<Listing>,
+    /// What it says of each node.
+    pub words: Vec<(usize, u32, State)>,
+}
+
+/// What becomes of a call.
+#[derive(Clone, Debug)]
+pub enum Answered {
+    /// It is answered at that time with this line, and is a watch from then on.
+    Opens(Line),
+    /// The queue is full: turned away at that time.
+    Refused(u64),
+    /// Nobody answers while the service is silent.
+    Nothing,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Watch {
+    /// The last version told on it, and when the last line comes: lines keep their order.
+    rev: u64,
+    last: u64,
+}
+
+/// The service.
+pub struct Service {
+    limits: Limits,
+    rev: u64,
+    /// The latest word on each server that is listed, and all changes in order.
+    now: BTreeMap<String, Word>,
+    log: Vec<Word>,
+    watches: BTreeMap<(u32, WatchId), Watch>,
+    /// When the call that came last is done with.
+    busy_until: f64,
+    silent: bool,
+    calls: u64,
+    refused: u64,
+}
+
+impl Service {
+    /// A service that lists these.
+    #[must_use]
+    pub fn new(limits: Limits, listed: Vec<Word>) -> Service {
+        let now = listed.into_iter().map(|word| (word.entry.uid.clone(), word)).collect();
+        Service {
+            limits,
+            rev: 1,
+            now,
+            log: Vec::new(),
+            watches: BTreeMap::new(),
+            busy_until: 0.0,
+            silent: false,
+            calls: 0,
+            refused: 0,
+        }
+    }
+
+    /// The whole list.
+    #[must_use]
+    pub fn listing(&self) -> Listing {
+        let entries = self.now.values().map(|word| word.entry.clone()).collect();
+        Listing { rev: self.rev, whole: true, entries, passed_over: Vec::new() }
+    }
+
+    /// Calls taken since the last time, and those of them that were turned away.
+    pub fn take_calls(&mut self) -> (u64, u64) {
+        (std::mem::take(&mut self.calls), std::mem::take(&mut self.refused))
+    }
+
+    /// A call.
+    pub fn call(&mut self, now: u64, instance: u32, watch: WatchId, ask: Ask) -> Answered {
+        self.calls += 1;
+        if self.silent {
+            return Answered::Nothing;
+        }
+        let each = 1e6 / self.limits.calls_per_s;
+        let waits = (self.busy_until - now as f64).max(0.0);
+        if waits / each >= self.limits.queue as f64 {
+            self.refused += 1;
+            return Answered::Refused(now + self.limits.late.us() / 10);
+        }
+        self.busy_until = self.busy_until.max(now as f64) + each;
+        let at = self.busy_until as u64 + self.limits.late.us() / 10;
+        let (listing, words) = match ask {
+            Ask::After(rev)
+                if self.log.first().is_none_or(|first| first.rev <= rev + 1) || rev >= self.rev =>
+            {
+                self.changes(rev)
+            }
+            Ask::After(_) | Ask::Whole | Ask::Check => {
+                let words = self.now.values().map(|word| (word.node, word.starts, word.entry.state));
+                (self.listing(), words.collect())
+            }
+        };
+        self.watches.insert((instance, watch), Watch { rev: self.rev, last: at });
+        Answered::Opens(Line { at, instance, watch, listing: Some(listing), words })
+    }
+
+    fn changes(&self, after: u64) -> (Listing, Vec<(usize, u32, State)>) {
+        let from = self.log.partition_point(|word| word.rev <= after);
+        let news = &self.log[from..];
+        let words = news.iter().map(|word| (word.node, word.starts, word.entry.state)).collect();
+        let entries = news.iter().map(|word| word.entry.clone()).collect();
+        (Listing { rev: self.rev, whole: false, entries, passed_over: Vec::new() }, words)
+    }
+
+    /// A watch is dropped by its instance. What was put in work for it is not taken back.
+    pub fn close(&mut self, instance: u32, watch: WatchId) {
+        self.watches.remove(&(instance, watch));
+    }
+
+    /// An instance ends, and all its watches with it.
+    pub fn instance_ends(&mut self, instance: u32) {
+        self.watches.retain(|(of, _), _| *of != instance);
+    }
+
+    /// Whether a watch is open.
+    #[must_use]
+    pub fn holds(&self, instance: u32, watch: WatchId) -> bool {
+        self.watches.contains_key(&(instance, watch))
+    }
+
+    /// Something changes.
+    pub fn change(&mut self, node: usize, starts: u32, entry: Entry) {
+        self.rev += 1;
+        let word = Word { rev: self.rev, entry, node, starts };
+        if word.entry.state == State::Gone {
+            self.now.remove(&word.entry.uid);
+        } else {
+            self.now.insert(word.entry.uid.clone(), word.clone());
+        }
+        self.log.push(word);
+    }
+
+    /// What the open watches hear of what changed since they last heard, each at its own time; with `beat` an empty line
+    /// where nothing did.
+    pub fn tell(&mut self, now: u64, beat: bool, rng: &mut SmallRng, out: &mut Vec<Line>) {
+        if self.silent {
+            return;
+        }
+        let keys: Vec<(u32, WatchId)> = self.watches.keys().copied().collect();
+        for (instance, watch) in keys {
+            let Some(Watch { rev, last }) = self.watches.get(&(instance, watch)).copied() else { continue };
+            let (listing, words) = if rev < self.rev {
+                let (listing, words) = self.changes(rev);
+                (Some(listing), words)
+            } else if beat {
+                (None, Vec::new())
+            } else {
+                continue;
+            };
+            // A sign of life says nothing that could be late; behind a change that still comes it waits its turn.
+            let late =
+                listing.as_ref().map_or(0.0, |_| self.limits.late.us() as f64 * rng.random_range(0.5..1.0));
+            let at = (now + late as u64).max(last);
+            self.watches.insert((instance, watch), Watch { rev: self.rev, last: at });
+            out.push(Line { at, instance, watch, listing, words });
+        }
+    }
+
+    /// It falls silent, or speaks again: what happened meanwhile is told then.
+    pub fn silence(&mut self, silent: bool) {
+        self.silent = silent;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scenario::Time;
+    use dunlincleat::api::Span;
+    use rand::SeedableRng;
+
+    fn service(calls_per_s: f64, queue: usize) -> Service {
+        let late = Time(Span(100_000));
+        let entry = Entry { state: State::Ready, ..Entry::leaving("n0".to_owned(), State::Ready) };
+        let word = Word { rev: 1, entry, node: 0, starts: 0 };
+        Service::new(Limits { late, calls_per_s, queue, on_request: false }, vec![word])
+    }
+
+    /// Sixty that gave up and called again once kept each other out for good: a call is work also when nobody waits.
+    #[test]
+    fn calls_wait_in_turn_and_those_given_up_still_cost() {
+        let mut service = service(10.0, 4);
+        let mut at = Vec::new();
+        for n in 0..6 {
+            let watch = WatchId(n);
+            match service.call(0, 0, watch, Ask::Whole) {
+                Answered::Opens(line) => at.push(line.at),
+                Answered::Refused(_) => at.push(0),
+                Answered::Nothing => panic!("it is not silent"),
+            }
+            service.close(0, watch);
+        }
+        assert_eq!(at, [110_000, 210_000, 310_000, 410_000, 0, 0]);
+        assert_eq!(service.take_calls(), (6, 2));
+    }
+
+    #[test]
+    fn a_watch_hears_each_change_once_in_order_and_silence_loses_none() {
+        let mut service = service(1000.0, 1000);
+        let mut rng = SmallRng::seed_from_u64(5);
+        let watch = WatchId(1);
+        assert!(
+            matches!(service.call(0, 7, watch, Ask::After(1)), Answered::Opens(line) if line.words.is_empty())
+        );
+        let (mut out, mut heard) = (Vec::new(), Vec::new());
+        for n in 1..200_u32 {
+            if n % 40 == 0 {
+                service.silence(n % 80 == 0);
+            }
+            service.change(n as usize, 0, Entry::leaving(format!("n{n}"), State::Draining));
+            service.tell(u64::from(n) * 1000, n % 7 == 0, &mut rng, &mut out);
+        }
+        service.silence(false);
+        service.tell(300_000, true, &mut rng, &mut out);
+        assert!(out.windows(2).all(|w| w[0].at <= w[1].at), "lines keep their order");
+        out.iter().for_each(|line| heard.extend(line.words.iter().map(|(node, _, _)| *node)));
+        assert_eq!(heard, (1..200).collect::<Vec<_>>());
+    }
+}
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -69,6 +69,8 @@
     came_sum: f64,
     /// It was pushed over.
     pub fell: bool,
+    /// The most that came while it was cold, against what pushes it over.
+    pub worst: f64,
 }
 
 impl Node {
@@ -91,6 +93,7 @@
             came: VecDeque::new(),
             came_sum: 0.0,
             fell: false,
+            worst: 0.0,
         }
     }
 
@@ -175,6 +178,9 @@
             self.came_sum -= work;
         }
         let bears = self.falls_over as f64 * self.cores as f64 * self.warmth(now) * self.falls_at;
+        if now >= born {
+            self.worst = self.worst.max(self.came_sum / bears);
+        }
         now >= born && self.came_sum > bears
     }
 
--- /dev/null
+++ b/crates/fleet/src/report.rs
@@ -0,0 +1,178 @@
+//! A day's result: what was wanted and what became of it, by second and by cause, and what it cost over the whole fleet.
+
+use crate::audit::Fault as Broken;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Why a request was not served in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Loss {
+    /// Sent where nobody could answer: gone, cut off, silent, broken.
+    NoSight,
+    /// It waited too long at a warm node, or found its queue full.
+    Queueing,
+    /// The same at a cold node.
+    Cold,
+    /// Its caller left, and a node worked for nobody.
+    Wasted,
+    /// Refused.
+    Refused,
+    /// Served after its aim.
+    Late,
+    /// No instance was there to take it.
+    Away,
+}
+
+impl Loss {
+    /// All of them, as they are told.
+    pub const ALL: [(Loss, &'static str); 7] = [
+        (Loss::NoSight, "no sight"),
+        (Loss::Queueing, "queueing"),
+        (Loss::Cold, "cold"),
+        (Loss::Wasted, "wasted"),
+        (Loss::Refused, "refused"),
+        (Loss::Late, "late"),
+        (Loss::Away, "away"),
+    ];
+
+    /// Its name.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        Loss::ALL.iter().find(|(loss, _)| *loss == self).map_or("", |(_, name)| name)
+    }
+}
+
+/// One second of a day, over the whole fleet.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Second {
+    /// The worth that callers wanted, of requests first asked for in it.
+    pub wanted: f64,
+    /// Of it, what was served: all in time, a half until the deadline.
+    pub served: f64,
+    /// What was lost, by cause.
+    pub lost: BTreeMap<String, f64>,
+    /// Connections opened.
+    pub opened: u64,
+    /// Connections held at its end.
+    pub held: u64,
+    /// Probes sent.
+    pub probes: u64,
+    /// Calls for lists.
+    pub calls: u64,
+    /// Attempts that arrived at each node.
+    pub arrived: Vec<u32>,
+}
+
+/// What went wrong, for the marks of a plot.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The fault's name.
+    pub name: String,
+    /// When it began and ended, in seconds.
+    pub from_s: f64,
+    /// The same.
+    pub to_s: f64,
+}
+
+/// A day's result. Figures are simulated.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// The version of this format.
+    pub v: u32,
+    /// The scenario.
+    pub scenario: String,
+    /// What was under test.
+    pub policy: String,
+    /// The seed.
+    pub seed: u64,
+    /// Requests that callers wanted served, with or without a second try.
+    pub wanted: u64,
+    /// The worth served, as a part of the worth wanted: all in time, a half until the deadline.
+    pub worth: f64,
+    /// Parts of those wanted, by how they ended.
+    pub in_time: f64,
+    /// Served after the aim.
+    pub late: f64,
+    /// Refused in the end.
+    pub refused: f64,
+    /// Failed in the end.
+    pub failed: f64,
+    /// Attempts for each request wanted.
+    pub attempts: f64,
+    /// Probes for each request wanted.
+    pub probes: f64,
+    /// Connections opened for each request wanted.
+    pub connections: f64,
+    /// Calls for lists by each instance in a minute.
+    pub list_calls: f64,
+    /// Calls for lists that were turned away, as a part of all.
+    pub list_refused: f64,
+    /// Milliseconds until served, from the first try.
+    pub p50_ms: f64,
+    /// The same at the 99th percentile.
+    pub p99_ms: f64,
+    /// From the end of the last cause until two seconds on end served 95% of what was before the first; nothing where no
+    /// cause was planned, or where that was not seen before the end.
+    pub recovery_s: Option<f64>,
+    /// The most that a cold node was sent, against what pushes it over.
+    pub worst_cold: f64,
+    /// The most connections at one node.
+    pub most_connections: usize,
+    /// The most requests that one instance held.
+    pub held: usize,
+    /// The worth lost by cause, as a part of the worth wanted.
+    pub losses: BTreeMap<String, f64>,
+    /// Attempts by how they ended.
+    pub outcomes: BTreeMap<String, u64>,
+    /// The part of the worth wanted in each second that was served.
+    pub worth_by_second: Vec<f64>,
+    /// How often each rule was broken.
+    pub broken: BTreeMap<String, u64>,
+    /// The first cases.
+    pub cases: Vec<Broken>,
+    /// Each second, where that was asked for.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub seconds: Vec<Second>,
+    /// What went wrong when, with the seconds.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub marks: Vec<Mark>,
+}
+
+/// From the end of the last cause, in seconds, until two seconds on end served 95% of the goodput before the first.
+#[must_use]
+pub fn recovery(seconds: &[Second], troubled: Option<(u64, u64)>, lasts: u64) -> Option<f64> {
+    let (first, over) = troubled?;
+    let part = |seconds: &[Second]| {
+        let (served, wanted) = seconds.iter().fold((0.0, 0.0), |(s, w), n| (s + n.served, w + n.wanted));
+        if wanted > 0.0 { served / wanted } else { 1.0 }
+    };
+    let second = |us: u64| (us as f64 / 1e6).ceil() as usize;
+    // The first second warms up.
+    let before = part(seconds.get(1..(first / 1_000_000) as usize).filter(|s| !s.is_empty())?);
+    let last = (lasts / 1_000_000) as usize;
+    let from = second(over);
+    (from..last.saturating_sub(1))
+        .find(|n| seconds.get(*n..n + 2).is_some_and(|two| part(two) >= 0.95 * before))
+        .map(|n| (n as f64 - over as f64 / 1e6).max(0.0))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn recovery_counts_from_the_end_of_the_last_cause() {
+        let day = |served: &[f64]| -> Vec<Second> {
+            served.iter().map(|s| Second { wanted: 10.0, served: *s, ..Second::default() }).collect()
+        };
+        let seconds = day(&[2.0, 9.0, 9.0, 1.0, 1.0, 5.0, 9.0, 5.0, 8.9, 9.0, 9.0, 9.0]);
+        let at = |first: u64, over: u64| recovery(&seconds, Some((first, over)), 12_000_000);
+        // One good second between two bad ones is no recovery.
+        assert_eq!(at(3_000_000, 4_500_000), Some(3.5));
+        assert_eq!(at(3_000_000, 9_000_000), Some(0.0));
+        assert_eq!(recovery(&seconds, None, 12_000_000), None);
+        assert_eq!(recovery(&day(&[9.0; 4]), Some((0, 1_000_000)), 4_000_000), None, "nothing was before");
+        let lost = day(&[9.0, 9.0, 9.0, 1.0, 1.0, 1.0]);
+        assert_eq!(recovery(&lost, Some((3_000_000, 3_500_000)), 6_000_000), None, "it never came back");
+    }
+}
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -1,22 +1,26 @@
-//! The clock, and all that happens: requests, attempts, the list, faults. One world is one thread and one seed; the same
-//! seed gives the same report to the byte.
+//! The clock, and all that happens: requests, attempts, connections, the list, faults. One world is one thread and one seed;
+//! the same seed gives the same report to the byte.
 
-use crate::audit::{Auditor, Fault as Broken, Kind};
+use crate::audit::{Auditor, Kind};
 use crate::balancing::{Balancing, In, Out};
 use crate::baseline::{Baseline, Choice};
+use crate::discovery::{Answered, Line, Service, Word};
+use crate::links::{Got, Links, Terms};
 use crate::mutant::{Mutant, Plant};
 use crate::node::{Job, Mood, Node, Taken};
-use crate::scenario::{Fault, Scenario};
+use crate::plan::{Chance, Chances, Step, steps};
+use crate::report::{Loss, Mark, Report, Second, recovery};
+use crate::scenario::{Fault, GRACE, How, Scenario};
 use anyhow::Result;
-use dunlincleat::api::{Attempt, Effect, ListKind, RequestId, ServerId, Span, State, Status, Time};
-use dunlincleat_directory::{Delivery, Entry};
+use dunlincleat::api::{Attempt, Discovery, Effect, RequestId, ServerId, Span, State, Status, Time};
+use dunlincleat_directory::{Cause, Entry, Figures, Follower, Listing, Output as Follow, WatchId};
 use dunlincleat_engine::{Answer, Ask, Ended, Engine, Input, Output, SlotId};
+use dunlincleat_settings::Site;
 use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
 use rustc_hash::FxHashMap;
-use serde::Serialize;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -27,6 +31,13 @@
 const MOST: u32 = 10_000;
 /// The part of a caller's patience that one try gets where it will try again.
 const TRY: f64 = 0.55;
+/// How often a watch brings a sign of life, and within what time a word counts as told.
+const HEARTBEAT: Span = Span(2_000_000);
+const TOLD_WITHIN: Span = Span(6_000_000);
+/// How often a caller knocks where no instance is there.
+const KNOCK: u64 = 20_000;
+/// How long a connection that can't come up is waited for, where nobody says.
+const CONNECT: Span = Span(200_000);
 
 /// What is under test.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,86 +48,66 @@
     Baseline(Choice),
     /// The engine with a planted fault.
     Mutant(Plant),
+    /// The engine without something that it has for days at size.
+    Without(Part),
 }
 
-/// A day's result. Figures are simulated.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Report {
-    /// The version of this format.
-    pub v: u32,
-    /// The scenario.
-    pub scenario: String,
-    /// What was under test.
-    pub policy: String,
-    /// The seed.
-    pub seed: u64,
-    /// Requests that callers wanted served, with or without a second try.
-    pub wanted: u64,
-    /// The worth served, as a part of the worth wanted: 1 in time, a half until the deadline.
-    pub worth: f64,
-    /// Parts of those wanted, by how they ended.
-    pub in_time: f64,
-    /// Served after the aim.
-    pub late: f64,
-    /// Refused in the end.
-    pub refused: f64,
-    /// Failed in the end.
-    pub failed: f64,
-    /// Attempts for each request wanted.
-    pub attempts: f64,
-    /// Probes for each request wanted.
-    pub probes: f64,
-    /// Milliseconds until served, from the first try.
-    pub p50_ms: f64,
-    /// The same at the 99th percentile.
-    pub p99_ms: f64,
-    /// Attempts by how they ended.
-    pub outcomes: BTreeMap<String, u64>,
-    /// The worth of what was wanted in each second.
-    pub worth_by_second: Vec<f64>,
-    /// How often each rule was broken.
-    pub broken: BTreeMap<String, u64>,
-    /// The first cases.
-    pub cases: Vec<Broken>,
+/// What can be taken out, to see that its absence shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Calls for lists keep their turn: without it each is given up after a short time and made again.
+    Turns,
+    /// Few servers are used where connections cost: without it nobody is told that they do.
+    FewServers,
+    /// What is turned away is what is worth the least: without it all are told alike.
+    Worth,
 }
 
-#[derive(Clone, Copy, Debug)]
-enum Step {
-    Die(usize),
-    Return(usize),
-    Drain(usize),
-    Replace(usize),
-    Mood(usize, Mood),
-    Slow(usize, f64),
-    Still(usize, u64),
-    Zone(usize, bool),
-    List(bool),
-    Burst(f64),
+impl Part {
+    /// All of them by name.
+    pub const ALL: [(&'static str, Part); 3] =
+        [("turns", Part::Turns), ("few-servers", Part::FewServers), ("worth", Part::Worth)];
 }
 
 #[derive(Clone, Copy, Debug)]
+struct Try {
+    caller: u32,
+    class: usize,
+    work: f64,
+    first: u64,
+    tries: u32,
+}
+
+#[derive(Clone, Debug)]
 enum Event {
     Ask(u32),
-    /// A caller tries again.
-    Again(u64),
+    /// A caller tries again, or knocks where no instance was.
+    Again(Try),
     Wake(u32),
     Arrive(Job),
     Done(Job, usize, u32),
     Back(Job, Status),
     Until(Job),
     GaveUp(u64),
+    /// A caller leaves before its time.
+    Leaves(u64),
     Probed {
         instance: u32,
         server: ServerId,
         asked: SlotId,
     },
-    Told {
-        instance: u32,
-        node: usize,
-        uid: u32,
-        state: State,
-        boot: u64,
-    },
+    /// The follower of an instance has something due.
+    Follow(u32),
+    Line(Box<Line>),
+    WatchEnds(u32, WatchId, Cause),
+    /// Open watches bring a sign of life.
+    Beat,
+    /// A second is over.
+    Second,
+    /// A caller's next instance serves.
+    Up(u32),
+    /// An instance that was told to end is gone.
+    Gone(u32),
     Step(Step),
 }
 
@@ -155,20 +146,31 @@
     state: State,
 }
 
+/// Who asks, through an instance of its own; nothing while that starts anew.
+struct Caller {
+    zone: usize,
+    share: f64,
+    instance: Option<u32>,
+}
+
+/// A process of the balancer. Its number is its own: the next one of the same caller has another.
 struct Instance {
+    caller: u32,
+    zone: usize,
     balancing: Box<dyn Balancing>,
+    follower: Follower,
     servers: FxHashMap<ServerId, usize>,
     wakes: u64,
-    heard: u64,
+    follows: u64,
+    in_hand: usize,
 }
 
 struct Request {
     instance: u32,
-    class: usize,
-    work: f64,
-    first: u64,
-    tries: u32,
+    asked: Try,
     answered: bool,
+    /// What kept its last attempt from serving it.
+    last: Option<Loss>,
 }
 
 struct Flight {
@@ -177,26 +179,44 @@
     node: Option<usize>,
     starts: u32,
     sent: u64,
+    /// It holds a connection, and that is new.
+    link: Option<bool>,
+    /// Its answer can't come.
+    lost: bool,
+    cold: bool,
 }
 
 struct World<'s> {
     scenario: &'s Scenario,
+    policy: Policy,
+    seed: u64,
+    /// What instances are told, before their number and zone.
+    told: Scenario,
     now: u64,
     order: u64,
     events: BinaryHeap<Reverse<Due>>,
     rng: SmallRng,
     places: Vec<Place>,
-    instances: Vec<Instance>,
+    callers: Vec<Caller>,
+    instances: FxHashMap<u32, Instance>,
+    next_instance: u32,
     requests: FxHashMap<u64, Request>,
     flights: FxHashMap<Job, Flight>,
+    links: Links,
+    service: Service,
     zones_lost: Vec<bool>,
-    list_silent: bool,
-    /// What the list could not tell while it was silent.
-    untold: Vec<(usize, u32, State, u64)>,
+    /// Ways cut, from instances of a zone to nodes of one.
+    cut: Vec<Vec<bool>>,
+    rate: f64,
     burst: f64,
+    shift: Vec<f64>,
+    chances: Chances,
+    gives_up: u64,
+    abuse_tries: u32,
     next: u64,
     auditor: Auditor,
     out: Vec<Out>,
+    lines: Vec<Line>,
     effects: Vec<Effect>,
     tally: Tally,
 }
@@ -210,8 +230,22 @@
     failed: u64,
     attempts: u64,
     probes: u64,
+    opened: u64,
+    calls: u64,
+    calls_refused: u64,
+    held: usize,
     outcomes: BTreeMap<String, u64>,
-    by_second: Vec<(u64, f64)>,
+    seconds: Vec<Second>,
+}
+
+impl Tally {
+    fn second(&mut self, at: u64, nodes: usize) -> &mut Second {
+        let n = ((at - START) / 1_000_000) as usize;
+        if self.seconds.len() <= n {
+            self.seconds.resize_with(n + 1, || Second { arrived: vec![0; nodes], ..Second::default() });
+        }
+        &mut self.seconds[n]
+    }
 }
 
 /// Plays a day.
@@ -220,175 +254,213 @@
 ///
 /// The scenario's classes can't be read as settings.
 pub fn play(scenario: &Scenario, policy: Policy, seed: u64) -> Result<Report> {
-    let mut instances = Vec::with_capacity(scenario.traffic.instances);
-    for n in 0..scenario.traffic.instances {
-        let site = scenario.site(n)?;
-        let seed = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(n as u64);
-        let engine = || Engine::<u64, u64>::new(&site, seed, MOST);
-        let balancing: Box<dyn Balancing> = match policy {
-            Policy::Module => Box::new(engine()),
-            Policy::Baseline(choice) => Box::new(Baseline::new(choice, &site, seed)),
-            Policy::Mutant(plant) => Box::new(Mutant::new(engine(), plant)),
-        };
-        instances.push(Instance { balancing, servers: FxHashMap::default(), wakes: u64::MAX, heard: 0 });
-    }
-    let effects = scenario.site(0)?.settings.classes.iter().map(|class| class.effect).collect();
-    let zones = scenario.fleet.zones.len();
-    let place = |n: usize| Place {
-        node: Node::new(&scenario.fleet),
-        zone: n % zones,
-        starts: 0,
-        uid: n as u32,
-        state: State::Ready,
-    };
-    let mut world = World {
-        scenario,
-        now: START,
-        order: 0,
-        events: BinaryHeap::new(),
-        rng: SmallRng::seed_from_u64(seed),
-        places: (0..scenario.fleet.nodes).map(place).collect(),
-        instances,
-        requests: FxHashMap::default(),
-        flights: FxHashMap::default(),
-        zones_lost: vec![false; zones],
-        list_silent: false,
-        untold: Vec::new(),
-        burst: 1.0,
-        next: 0,
-        auditor: Auditor::default(),
-        out: Vec::new(),
-        effects,
-        tally: Tally::default(),
-    };
+    play_whole(scenario, policy, seed, false)
+}
+
+/// Plays a day; the report has each second where that is wanted.
+///
+/// # Errors
+///
+/// The scenario's classes can't be read as settings.
+pub fn play_whole(scenario: &Scenario, policy: Policy, seed: u64, seconds: bool) -> Result<Report> {
+    let mut times = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3)?;
+    let mut world = World::new(scenario, policy, seed)?;
+    world.run(&mut times)?;
+    Ok(world.report(&times, seconds))
+}
+
+/// Plays a day and gives the bytes that its instances hold at its end, as `allocated` counts them, and how many they are.
+///
+/// # Errors
+///
+/// The scenario's classes can't be read as settings.
+pub fn held_by_instances(
+    scenario: &Scenario,
+    policy: Policy,
+    seed: u64,
+    allocated: fn() -> usize,
+) -> Result<(usize, usize)> {
     let mut times = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3)?;
-    world.run(&mut times);
-    Ok(world.report(policy, seed, &times))
+    let mut world = World::new(scenario, policy, seed)?;
+    world.run(&mut times)?;
+    let (instances, with) = (std::mem::take(&mut world.instances), allocated());
+    let count = instances.len();
+    drop(instances);
+    Ok((with.saturating_sub(allocated()), count))
+}
+
+/// Who asks how much.
+fn callers(scenario: &Scenario, rng: &mut SmallRng) -> Vec<Caller> {
+    let (traffic, zones) = (&scenario.traffic, scenario.fleet.zones.len());
+    let drawn = |rng: &mut SmallRng| match LogNormal::new(0.0, traffic.skew) {
+        Ok(spread) if traffic.skew > 0.0 => spread.sample(rng),
+        _ => 1.0,
+    };
+    let mut shares: Vec<f64> = (0..traffic.instances).map(|_| drawn(rng)).collect();
+    let hot = if traffic.hot > 0.0 { 1 } else { 0 };
+    let rest: f64 = shares[hot..].iter().sum();
+    shares[hot..].iter_mut().for_each(|share| *share *= (1.0 - traffic.hot) / rest);
+    shares[..hot].fill(traffic.hot);
+    let caller = |(n, share)| Caller { zone: n % zones, share, instance: None };
+    shares.into_iter().enumerate().map(caller).collect()
+}
+
+fn entry(scenario: &Scenario, places: &[Place], node: usize, uid: u32, state: State, boot: u64) -> Entry {
+    let zone = scenario.fleet.zones[places[node].zone].clone();
+    let host = Ipv4Addr::from(0x7f00_0001 + node as u32);
+    let endpoint = (state != State::Gone).then(|| SocketAddr::from((host, 1)));
+    let (model, weight) = (String::new(), 1.0);
+    Entry { uid: format!("n{uid}"), endpoint, zone, model, cell: 0, state, weight, boot_ms: boot / 1000 }
 }
 
-impl World<'_> {
+impl<'s> World<'s> {
+    /// A day before it begins.
+    fn new(scenario: &'s Scenario, policy: Policy, seed: u64) -> Result<World<'s>> {
+        let effects = scenario.site(0)?.settings.classes.iter().map(|class| class.effect).collect();
+        let mut told = scenario.clone();
+        match policy {
+            Policy::Without(Part::FewServers) => (told.prices.handshake, told.prices.connection) = (0.0, 0.0),
+            Policy::Without(Part::Worth) => told.classes.iter_mut().for_each(|class| class.worth = 1.0),
+            Policy::Without(Part::Turns) | Policy::Module | Policy::Baseline(_) | Policy::Mutant(_) => {}
+        }
+        let (fleet, traffic) = (&scenario.fleet, &scenario.traffic);
+        let zones = fleet.zones.len();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let place = |n: usize| Place {
+            node: Node::new(fleet),
+            zone: n % zones,
+            starts: 0,
+            uid: n as u32,
+            state: State::Ready,
+        };
+        let places: Vec<Place> = (0..fleet.nodes).map(place).collect();
+        let words = (0..places.len()).map(|node| {
+            let entry = entry(scenario, &places, node, node as u32, State::Ready, 0);
+            Word { rev: 1, entry, node, starts: 0 }
+        });
+        let service = Service::new(scenario.discovery(), words.collect());
+        let terms = Terms { most: fleet.connections, idle: fleet.idle.map_or(0, |idle| idle.us()) };
+        let callers = callers(scenario, &mut rng);
+        let mut world = World {
+            scenario,
+            policy,
+            seed,
+            told,
+            now: START,
+            order: 0,
+            events: BinaryHeap::new(),
+            rng,
+            links: Links::new(terms, places.len()),
+            places,
+            callers,
+            instances: FxHashMap::default(),
+            next_instance: 0,
+            requests: FxHashMap::default(),
+            flights: FxHashMap::default(),
+            service,
+            zones_lost: vec![false; zones],
+            cut: vec![vec![false; zones]; zones],
+            rate: scenario.rate(),
+            burst: 1.0,
+            shift: vec![1.0; zones],
+            chances: Chances::default(),
+            gives_up: 0,
+            abuse_tries: 0,
+            next: 0,
+            auditor: Auditor::default(),
+            out: Vec::new(),
+            lines: Vec::new(),
+            effects,
+            tally: Tally::default(),
+        };
+        for caller in 0..traffic.instances as u32 {
+            let known = world.service.listing();
+            world.start(caller, known)?;
+            world.next_ask(caller);
+        }
+        Ok(world)
+    }
+
     fn at(&mut self, at: u64, event: Event) {
         self.order += 1;
         self.events.push(Reverse(Due { at, order: self.order, event }));
     }
 
-    fn run(&mut self, times: &mut Histogram<u64>) {
-        self.plan();
-        let entries = (0..self.places.len()).map(|n| self.entry(n, self.places[n].uid, State::Ready, 0));
-        let known = Delivery { kind: ListKind::Cached, rev: 1, entries: entries.collect(), odd: Vec::new() };
-        for instance in 0..self.instances.len() as u32 {
-            self.tell(instance, Input::Listed(known.clone()));
-            self.next_ask(instance);
+    fn run(&mut self, times: &mut Histogram<u64>) -> Result<()> {
+        for (at, step) in steps(self.scenario, &mut self.rng) {
+            self.at(START + at, Event::Step(step));
         }
+        self.at(START + HEARTBEAT.0, Event::Beat);
+        self.at(START + 1_000_000, Event::Second);
         let end = START + self.scenario.lasts.us();
-        let longest = self.scenario.classes.iter().map(|c| c.deadline.us()).max().unwrap_or(0);
         // Nobody asks any more, and all that was asked is answered.
-        let over = end + 2 * longest + 1_000_000;
+        let over = end + 2 * self.longest() + 1_000_000;
         while let Some(Reverse(Due { at, event, .. })) = self.events.pop() {
             if at > over {
-                return;
+                break;
             }
             self.now = at;
-            self.happen(event, end, times);
+            self.happen(event, end, times)?;
         }
+        Ok(())
     }
 
-    /// Nodes drawn at random, a part of all.
-    fn draw(&mut self, part: f64) -> Vec<usize> {
-        let count = ((self.places.len() as f64 * part).round() as usize).max(1);
-        let mut all: Vec<usize> = (0..self.places.len()).collect();
-        for n in 0..count.min(all.len()) {
-            let other = self.rng.random_range(n..all.len());
-            all.swap(n, other);
-        }
-        all.truncate(count);
-        all
+    fn longest(&self) -> u64 {
+        self.scenario.classes.iter().map(|c| c.deadline.us()).max().unwrap_or(0)
     }
 
-    /// Puts the time line of faults into the day.
-    fn plan(&mut self) {
-        for fault in self.scenario.faults.clone() {
-            match fault {
-                Fault::Death { at, part, back } => {
-                    for node in self.draw(part) {
-                        let spread = self.rng.random_range(0..500_000);
-                        self.at(START + at.us(), Event::Step(Step::Die(node)));
-                        self.at(START + at.us() + back.us() + spread, Event::Step(Step::Return(node)));
-                    }
-                }
-                Fault::Deploy { at, part, step } => {
-                    let (order, mut begins) = (self.draw(1.0), START + at.us());
-                    let size = ((order.len() as f64 * part).round() as usize).max(1);
-                    for batch in order.chunks(size) {
-                        for node in batch {
-                            self.at(begins, Event::Step(Step::Drain(*node)));
-                            self.at(begins + step.us() / 2, Event::Step(Step::Replace(*node)));
-                        }
-                        begins += step.us();
-                    }
-                }
-                Fault::Stall { at, lasts, part, each, every } => {
-                    for node in self.draw(part) {
-                        let mut begins = START + at.us() + self.rng.random_range(0..every.us().max(1));
-                        while begins < START + at.us() + lasts.us() {
-                            self.at(begins, Event::Step(Step::Still(node, each.us())));
-                            begins += every.us().max(1000);
-                        }
-                    }
-                }
-                Fault::Slow { at, lasts, part, factor } => {
-                    for node in self.draw(part) {
-                        self.at(START + at.us(), Event::Step(Step::Slow(node, factor)));
-                        self.at(START + at.us() + lasts.us(), Event::Step(Step::Slow(node, 1.0)));
-                    }
-                }
-                Fault::FailFast { at, lasts, part } => self.moods(at.us(), lasts.us(), part, Mood::Fails),
-                Fault::BlackHole { at, lasts, part } => self.moods(at.us(), lasts.us(), part, Mood::Swallows),
-                Fault::ZoneLoss { at, lasts, zone } => {
-                    let zone = self.scenario.fleet.zones.iter().position(|z| *z == zone).unwrap_or(0);
-                    self.at(START + at.us(), Event::Step(Step::Zone(zone, true)));
-                    self.at(START + at.us() + lasts.us(), Event::Step(Step::Zone(zone, false)));
-                }
-                Fault::ListSilent { at, lasts } => {
-                    self.at(START + at.us(), Event::Step(Step::List(true)));
-                    self.at(START + at.us() + lasts.us(), Event::Step(Step::List(false)));
-                }
-                Fault::Burst { at, lasts, factor } => {
-                    self.at(START + at.us(), Event::Step(Step::Burst(factor)));
-                    self.at(START + at.us() + lasts.us(), Event::Step(Step::Burst(1.0 / factor)));
-                }
-            }
-        }
+    /// What an instance of a caller is told.
+    fn site(&self, caller: u32) -> Result<Site> {
+        self.told.site(caller as usize)
     }
 
-    fn moods(&mut self, at: u64, lasts: u64, part: f64, mood: Mood) {
-        for node in self.draw(part) {
-            self.at(START + at, Event::Step(Step::Mood(node, mood)));
-            self.at(START + at + lasts, Event::Step(Step::Mood(node, Mood::Serves)));
+    /// A process begins for a caller, with the list as it was last held.
+    fn start(&mut self, caller: u32, known: Listing) -> Result<()> {
+        let site = self.site(caller)?;
+        let number = self.next_instance;
+        self.next_instance += 1;
+        let seed = self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(u64::from(number));
+        let engine = || Engine::<u64, u64>::new(&site, seed, MOST);
+        let balancing: Box<dyn Balancing> = match self.policy {
+            Policy::Module | Policy::Without(_) => Box::new(engine()),
+            Policy::Baseline(choice) => Box::new(Baseline::new(choice, &site, seed)),
+            Policy::Mutant(plant) => Box::new(Mutant::new(engine(), plant)),
+        };
+        let mut figures = Figures::derive(HEARTBEAT, TOLD_WITHIN, GRACE);
+        if self.policy == Policy::Without(Part::Turns) {
+            figures.bound = figures.call;
         }
-    }
-
-    fn entry(&self, node: usize, uid: u32, state: State, boot: u64) -> Entry {
-        let zone = self.scenario.fleet.zones[self.places[node].zone].clone();
-        let host = Ipv4Addr::from(0x7f00_0001 + node as u32);
-        let endpoint = (state != State::Gone).then(|| SocketAddr::from((host, 1)));
-        let (model, weight) = (String::new(), 1.0);
-        Entry { uid: format!("n{uid}"), endpoint, zone, model, cell: 0, state, weight, boot_ms: boot / 1000 }
+        let mode = if self.scenario.fleet.list_on_request { Discovery::OnRequest } else { Discovery::Pushed };
+        let at = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+        let (follower, delivery) = Follower::new(Time(self.now), figures, mode, at, seed, known);
+        let zone = self.callers[caller as usize].zone;
+        let servers = FxHashMap::default();
+        let (wakes, follows) = (u64::MAX, u64::MAX);
+        let instance = Instance { caller, zone, balancing, follower, servers, wakes, follows, in_hand: 0 };
+        self.instances.insert(number, instance);
+        self.callers[caller as usize].instance = Some(number);
+        self.tell(number, Input::Listed(delivery));
+        self.follow(number, None);
+        Ok(())
     }
 
     /// Tells an instance, and does what it wants.
     fn tell(&mut self, instance: u32, input: In) {
         let mut out = std::mem::take(&mut self.out);
-        self.instances[instance as usize].balancing.input(Time(self.now), input, &mut out);
+        if let Some(of) = self.instances.get_mut(&instance) {
+            of.balancing.input(Time(self.now), input, &mut out);
+        }
         self.carry_out(instance, out);
     }
 
     fn carry_out(&mut self, instance: u32, mut out: Vec<Out>) {
+        let mut watch = false;
         for output in out.drain(..) {
             match output {
                 Output::Answer { id, answer } => self.answer(id.0, &answer),
-                Output::Attempt { id, attempt, server, until, .. } => {
-                    self.send(Job { instance, request: id.0, attempt: attempt.0 }, server, until.0);
+                Output::Attempt { id, attempt, server, until, connect, .. } => {
+                    let job = Job { instance, request: id.0, attempt: attempt.0 };
+                    self.send(job, server, until.0, connect);
                 }
                 Output::Cancel { id, attempt, .. } => {
                     let job = Job { instance, request: id.0, attempt: attempt.0 };
@@ -396,36 +468,76 @@
                 }
                 Output::Probe { server, asked } => {
                     self.tally.probes += 1;
+                    let nodes = self.places.len();
+                    self.tally.second(self.now, nodes).probes += 1;
                     let back = self.now + 2 * self.scenario.fleet.network.us();
                     self.at(back, Event::Probed { instance, server, asked });
                 }
-                Output::Open { server, at, .. } => {
-                    if let SocketAddr::V4(at) = at {
-                        let node = (u32::from(*at.ip()) - 0x7f00_0001) as usize;
-                        self.instances[instance as usize].servers.insert(server, node);
+                Output::Open { server, at: SocketAddr::V4(at), .. } => {
+                    let node = (u32::from(*at.ip()) - 0x7f00_0001) as usize;
+                    if let Some(of) = self.instances.get_mut(&instance) {
+                        of.servers.insert(server, node);
                     }
                 }
-                Output::Close { server } => drop(self.instances[instance as usize].servers.remove(&server)),
-                Output::Listed { .. } | Output::Watch | Output::Say { .. } => {}
+                Output::Close { server } => {
+                    if let Some(of) = self.instances.get_mut(&instance) {
+                        of.servers.remove(&server);
+                    }
+                }
+                Output::Watch => watch = true,
+                Output::Open { .. } | Output::Listed { .. } | Output::Say { .. } => {}
             }
         }
         self.out = out;
-        let due = self.instances[instance as usize].balancing.due().map_or(u64::MAX, |t| t.0.max(self.now));
-        if due < self.instances[instance as usize].wakes {
-            self.instances[instance as usize].wakes = due;
+        if watch {
+            self.follow(instance, Some(dunlincleat_directory::Input::Wanted));
+        }
+        let now = self.now;
+        let Some(of) = self.instances.get_mut(&instance) else { return };
+        let due = of.balancing.due().map_or(u64::MAX, |t| t.0.max(now));
+        if due < of.wakes {
+            of.wakes = due;
             self.at(due, Event::Wake(instance));
         }
     }
 
-    fn next_ask(&mut self, instance: u32) {
-        let traffic = &self.scenario.traffic;
-        let rest = (1.0 - traffic.hot)
-            / (traffic.instances as f64 - f64::from(u8::from(traffic.hot > 0.0))).max(1.0);
-        let part = if traffic.hot > 0.0 && instance == 0 { traffic.hot } else { rest };
-        let rate = traffic.rate_per_s * part * self.burst / 1e6;
+    /// Tells the follower of an instance, or wakes it, and does what it wants.
+    fn follow(&mut self, instance: u32, input: Option<dunlincleat_directory::Input>) {
+        let (now, mut out) = (Time(self.now), Vec::new());
+        let Some(of) = self.instances.get_mut(&instance) else { return };
+        match input {
+            Some(input) => of.follower.input(now, input, &mut out),
+            None => of.follower.wake(now, &mut out),
+        }
+        for output in out {
+            match output {
+                Follow::Open { watch, ask, .. } => match self.service.call(self.now, instance, watch, ask) {
+                    Answered::Opens(line) => self.at(line.at, Event::Line(Box::new(line))),
+                    Answered::Refused(at) => {
+                        self.at(at, Event::WatchEnds(instance, watch, Cause::Refused(503)));
+                    }
+                    Answered::Nothing => {}
+                },
+                Follow::Close(watch) => self.service.close(instance, watch),
+                Follow::Deliver(delivery) => self.tell(instance, Input::Listed(delivery)),
+                Follow::Failed => self.tell(instance, Input::ListFailed),
+                Follow::Lost { .. } | Follow::Followed { .. } => {}
+            }
+        }
+        let Some(of) = self.instances.get_mut(&instance) else { return };
+        let due = of.follower.due().map_or(u64::MAX, |t| t.0.max(now.0 + 1));
+        if due < of.follows {
+            of.follows = due;
+            self.at(due, Event::Follow(instance));
+        }
+    }
+
+    fn next_ask(&mut self, caller: u32) {
+        let Caller { zone, share, .. } = self.callers[caller as usize];
+        let rate = self.rate * share * self.burst * self.shift[zone] / 1e6;
         if let Ok(gap) = Exp::new(rate) {
             let gap = gap.sample(&mut self.rng).min(1e12) as u64;
-            self.at(self.now + gap, Event::Ask(instance));
+            self.at(self.now + gap, Event::Ask(caller));
         }
     }
 
@@ -444,7 +556,7 @@
         drawn.unwrap_or(mean)
     }
 
-    fn ask(&mut self, instance: u32) {
+    fn ask(&mut self, caller: u32) {
         let shares: f64 = self.scenario.classes.iter().map(|c| c.share).sum();
         let mut draw = self.rng.random_range(0.0..shares);
         let class = self.scenario.classes.iter().position(|c| {
@@ -454,32 +566,66 @@
         let class = class.unwrap_or(0);
         let work = self.work(class);
         self.tally.wanted += 1;
-        let second = ((self.now - START) / 1_000_000) as usize;
-        if self.tally.by_second.len() <= second {
-            self.tally.by_second.resize(second + 1, (0, 0.0));
-        }
-        self.tally.by_second[second].0 += 1;
-        self.take(Request { instance, class, work, first: self.now, tries: 0, answered: false }, false);
+        let (worth, nodes) = (self.scenario.classes[class].worth, self.places.len());
+        self.tally.second(self.now, nodes).wanted += worth;
+        self.take(Try { caller, class, work, first: self.now, tries: 0 });
     }
 
-    fn take(&mut self, request: Request, repeat: bool) {
+    /// A caller's request reaches its instance, or nobody.
+    fn take(&mut self, asked: Try) {
+        let class = &self.scenario.classes[asked.class];
+        let (aim, deadline) = (class.aim.us(), class.deadline.us());
+        let left = (asked.first + deadline).saturating_sub(self.now);
+        let Some(instance) = self.callers[asked.caller as usize].instance else {
+            if left > KNOCK {
+                return self.at(self.now + KNOCK, Event::Again(asked));
+            }
+            self.tally.failed += 1;
+            return self.lose(asked, Loss::Away);
+        };
         let id = self.next;
         self.next += 1;
-        let class = &self.scenario.classes[request.class];
-        let (aim, deadline) = (class.aim.us(), class.deadline.us());
-        let left = (request.first + deadline).saturating_sub(self.now);
         let wait =
             if self.scenario.traffic.retries > 0 { left.min((deadline as f64 * TRY) as u64) } else { left };
-        let (instance, number) = (request.instance, request.class as u32);
-        self.auditor.taken(id, self.now, self.effects[request.class], aim, self.now + wait);
-        self.requests.insert(id, request);
+        self.auditor.taken(id, self.now, self.effects[asked.class], aim, self.now + wait);
+        self.requests.insert(id, Request { instance, asked, answered: false, last: None });
         self.at(self.now + wait + crate::audit::SLACK + 1, Event::GaveUp(id));
-        let ask =
-            Ask { class: number, tenant: 0, wait: Span(wait), hint: None, key: None, repeat, rule: None };
+        if self.chances.falls(Chance::GivesUp, &mut self.rng) && self.gives_up < wait {
+            self.at(self.now + self.gives_up, Event::Leaves(id));
+        }
+        let guess = self.scenario.traffic.hints.map(|sigma| {
+            let off = LogNormal::new(0.0, sigma).map_or(1.0, |spread| spread.sample(&mut self.rng));
+            Span((asked.work * off) as u64)
+        });
+        let (number, repeat) = (asked.class as u32, asked.tries > 0);
+        let wait = Span(wait);
+        let ask = Ask { class: number, tenant: 0, wait, hint: guess, key: None, repeat, rule: None };
+        if let Some(of) = self.instances.get_mut(&instance) {
+            of.in_hand += 1;
+            self.tally.held = self.tally.held.max(of.in_hand);
+        }
         let received = Time(self.now);
         self.tell(instance, Input::Request { id: RequestId(id), ask, received, payload: id });
     }
 
+    /// A request will not be served: its worth is lost, for this cause.
+    fn lose(&mut self, asked: Try, loss: Loss) {
+        let (worth, nodes) = (self.scenario.classes[asked.class].worth, self.places.len());
+        let lost = &mut self.tally.second(asked.first, nodes).lost;
+        *lost.entry(loss.name().to_owned()).or_default() += worth;
+    }
+
+    /// Nobody waits for it any more, or it has its answer.
+    fn settle(&mut self, id: u64) -> Option<(Try, Option<Loss>)> {
+        let request = self.requests.get_mut(&id).filter(|request| !request.answered)?;
+        request.answered = true;
+        let (instance, asked, last) = (request.instance, request.asked, request.last);
+        if let Some(of) = self.instances.get_mut(&instance) {
+            of.in_hand -= 1;
+        }
+        Some((asked, last))
+    }
+
     fn answer(&mut self, id: u64, answer: &Answer<u64>) {
         let kind = match answer {
             Answer::Served(body) => Kind::Served(*body),
@@ -487,42 +633,90 @@
             Answer::Failed => Kind::Failed,
         };
         self.auditor.answered(id, self.now, kind);
-        let Some(request) = self.requests.get_mut(&id).filter(|request| !request.answered) else { return };
-        request.answered = true;
-        let (first, tries, class) = (request.first, request.tries, request.class);
-        let spec = &self.scenario.classes[class];
-        let (aim, deadline) = (spec.aim.us(), spec.deadline.us());
-        let harmless = kind == Kind::Refused || self.effects[class] != Effect::Unsafe;
+        let Some((asked, last)) = self.settle(id) else { return };
+        let spec = &self.scenario.classes[asked.class];
         if let Kind::Served(_) = kind {
-            let took = self.now - first;
-            let (count, worth) =
-                if took <= aim { (&mut self.tally.in_time, 1.0) } else { (&mut self.tally.late, 0.5) };
-            *count += 1;
-            self.tally.by_second[((first - START) / 1_000_000) as usize].1 += worth;
+            let in_time = self.now - asked.first <= spec.aim.us();
+            let (worth, nodes) = (spec.worth, self.places.len());
+            let part = if in_time { 1.0 } else { 0.5 };
+            *(if in_time { &mut self.tally.in_time } else { &mut self.tally.late }) += 1;
+            self.tally.second(asked.first, nodes).served += part * worth;
+            if !in_time {
+                let lost = &mut self.tally.second(asked.first, nodes).lost;
+                *lost.entry(Loss::Late.name().to_owned()).or_default() += worth - part * worth;
+            }
             return;
         }
-        let backoff = self.scenario.traffic.backoff.map_or(0, |b| b.us());
-        let wait = (backoff as f64 * self.rng.random_range(0.5..1.5)) as u64;
-        if harmless && tries < self.scenario.traffic.retries && self.now + wait < first + deadline {
-            self.at(self.now + wait, Event::Again(id));
-        } else if kind == Kind::Refused {
+        let harmless = kind == Kind::Refused || self.effects[asked.class] != Effect::Unsafe;
+        self.unserved(asked, harmless, kind == Kind::Refused, last.unwrap_or(Loss::Refused));
+    }
+
+    /// A try brought no answer: the caller tries again where it may, or is done.
+    fn unserved(&mut self, asked: Try, harmless: bool, refused: bool, loss: Loss) {
+        let traffic = &self.scenario.traffic;
+        let backoff = traffic.backoff.map_or(0, |b| b.us());
+        let mut most = traffic.retries;
+        let mut wait = (backoff as f64 * self.rng.random_range(0.5..1.5)) as u64;
+        if self.chances.falls(Chance::Abuse, &mut self.rng) {
+            (most, wait) = (most + self.abuse_tries, wait / 10);
+        }
+        let deadline = self.scenario.classes[asked.class].deadline.us();
+        if harmless && asked.tries < most && self.now + wait < asked.first + deadline {
+            let again = Try { tries: asked.tries + 1, ..asked };
+            return self.at(self.now + wait, Event::Again(again));
+        }
+        if refused {
             self.tally.refused += 1;
         } else {
             self.tally.failed += 1;
         }
+        self.lose(asked, loss);
     }
 
-    fn send(&mut self, job: Job, server: ServerId, until: u64) {
+    /// Whether an instance and a node reach each other.
+    fn reach(&self, instance: u32, node: usize) -> bool {
+        let (zone, from) = (self.places[node].zone, self.instances.get(&instance).map_or(0, |of| of.zone));
+        !self.zones_lost[zone] && !self.cut[from][zone]
+    }
+
+    fn send(&mut self, job: Job, server: ServerId, until: u64, connect: Option<Span>) {
         self.tally.attempts += 1;
-        let node = self.instances[job.instance as usize].servers.get(&server).copied();
-        let starts = node.map_or(0, |node| self.places[node].starts);
-        self.flights.insert(job, Flight { server, node, starts, sent: self.now });
-        let Some(node) = node else { return self.at(self.now, Event::Back(job, Status::ConnectFailed)) };
-        let zone = self.places[node].zone;
-        self.auditor.sent(job, node, starts, self.now);
-        self.at(until.max(self.now), Event::Until(job));
-        if !self.zones_lost[zone] {
-            self.at(self.now + self.scenario.fleet.network.us(), Event::Arrive(job));
+        let (now, until) = (self.now, until.max(self.now));
+        let node = self.instances.get(&job.instance).and_then(|of| of.servers.get(&server).copied());
+        let mut flight = Flight { server, node, starts: 0, sent: now, link: None, lost: false, cold: false };
+        let Some(at) = node else {
+            self.flights.insert(job, flight);
+            return self.at(now, Event::Back(job, Status::ConnectFailed));
+        };
+        let (reached, network) = (self.reach(job.instance, at), self.scenario.fleet.network.us());
+        let place = &self.places[at];
+        flight.starts = place.starts;
+        flight.cold = place.node.warmth(now) < 1.0;
+        self.auditor.sent(job, at, flight.starts, now);
+        let got = self.links.take(now, job.instance, at as u32);
+        flight.link = match got {
+            Got::Kept => Some(false),
+            Got::New => Some(true),
+            Got::Full => None,
+        };
+        flight.lost = !reached;
+        self.flights.insert(job, flight);
+        self.at(until, Event::Until(job));
+        match got {
+            Got::Full => self.at(now + 2 * network, Event::Back(job, Status::Full)),
+            // It never comes up.
+            Got::New if !reached => {
+                let failed = now + connect.unwrap_or(CONNECT).0;
+                self.at(failed.min(until), Event::Back(job, Status::ConnectFailed));
+            }
+            Got::Kept if !reached => {}
+            Got::Kept | Got::New => {
+                let there = network + if got == Got::New { 2 * network } else { 0 };
+                self.at(now + there, Event::Arrive(job));
+                if self.chances.falls(Chance::Reset, &mut self.rng) {
+                    self.at(now + there + network, Event::Back(job, Status::Reset));
+                }
+            }
         }
     }
 
@@ -536,122 +730,199 @@
         if let (Some(node), Status::Ok | Status::Error | Status::Full) = (flight.node, status) {
             load = self.report_of(node);
         }
-        let node = flight.node.filter(|node| self.places[*node].starts == flight.starts);
-        if let Some((node, began)) = node.and_then(|n| Some((n, self.places[n].node.done(self.now, job)?))) {
-            let (next, ends) = began;
-            self.auditor.began(next, self.now);
-            self.at(ends, Event::Done(next, node, self.places[node].starts));
+        let same = flight.node.filter(|node| self.places[*node].starts == flight.starts);
+        if let Some(node) = same {
+            self.leaves_node(job, node);
+        }
+        if let (Some(_), Some(node)) = (flight.link, flight.node) {
+            let kept = same.is_some() && matches!(status, Status::Ok | Status::Error | Status::Full);
+            if kept && self.places[node].node.mood != Mood::Dead {
+                self.links.free(self.now, job.instance, node as u32);
+            } else {
+                self.links.close(node as u32);
+            }
         }
         let body = (status == Status::Ok).then_some(job.request);
-        if status == Status::Ok
-            && let Some(request) = self.requests.get(&job.request).filter(|request| !request.answered)
-        {
-            times.saturating_record((self.now - request.first).max(1));
+        if let Some(request) = self.requests.get_mut(&job.request).filter(|request| !request.answered) {
+            if status == Status::Ok {
+                times.saturating_record((self.now - request.asked.first).max(1));
+            }
+            request.last = match status {
+                Status::Ok | Status::Cancelled | Status::Moot => request.last,
+                Status::Timeout if flight.lost => Some(Loss::NoSight),
+                Status::Timeout | Status::Full if flight.cold => Some(Loss::Cold),
+                Status::Timeout | Status::Full => Some(Loss::Queueing),
+                Status::Error | Status::Reset | Status::ConnectFailed => Some(Loss::NoSight),
+            };
         }
         let ended = Ended { status, latency: Span(latency), load, body };
         let (id, attempt, server) = (RequestId(job.request), Attempt(job.attempt), flight.server);
         self.tell(job.instance, Input::Ended { id, attempt, server, ended });
     }
 
+    /// A node is done with a request, and begins the next that waits.
+    fn leaves_node(&mut self, job: Job, node: usize) {
+        if let Some((next, ends)) = self.places[node].node.done(self.now, job) {
+            self.auditor.began(next, self.now);
+            self.at(ends, Event::Done(next, node, self.places[node].starts));
+        }
+    }
+
     fn report_of(&self, node: usize) -> Vec<f64> {
         let (in_hand, waiting) = self.places[node].node.load();
         vec![in_hand as f64, waiting as f64, self.places[node].node.util()]
     }
 
-    fn happen(&mut self, event: Event, end: u64, times: &mut Histogram<u64>) {
+    fn happen(&mut self, event: Event, end: u64, times: &mut Histogram<u64>) -> Result<()> {
         match event {
-            Event::Ask(instance) => {
+            Event::Ask(caller) => {
                 if self.now < end {
-                    self.ask(instance);
-                    self.next_ask(instance);
-                }
-            }
-            Event::Again(id) => {
-                if let Some(Request { instance, class, work, first, tries, .. }) = self.requests.get(&id) {
-                    let (instance, class, work, first) = (*instance, *class, *work, *first);
-                    let tries = tries + 1;
-                    self.take(Request { instance, class, work, first, tries, answered: false }, true);
+                    self.ask(caller);
+                    self.next_ask(caller);
                 }
             }
+            Event::Again(asked) => self.take(asked),
             Event::Wake(instance) => {
-                if self.instances[instance as usize].wakes == self.now {
-                    self.instances[instance as usize].wakes = u64::MAX;
-                    let mut out = std::mem::take(&mut self.out);
-                    self.instances[instance as usize].balancing.wake(Time(self.now), &mut out);
-                    self.carry_out(instance, out);
-                }
+                let now = self.now;
+                let Some(of) = self.instances.get_mut(&instance).filter(|of| of.wakes == now) else {
+                    return Ok(());
+                };
+                of.wakes = u64::MAX;
+                let mut out = std::mem::take(&mut self.out);
+                of.balancing.wake(Time(now), &mut out);
+                self.carry_out(instance, out);
             }
             Event::Arrive(job) => self.arrive(job),
-            Event::Done(job, node, starts) => {
-                if self.places[node].starts == starts && self.places[node].node.works_on(job) {
-                    let still = self.places[node].node.still;
-                    if still > self.now {
-                        return self.at(still, Event::Done(job, node, starts));
-                    }
-                    let back = self.now + self.scenario.fleet.network.us();
-                    if !self.zones_lost[self.places[node].zone] {
-                        self.at(back, Event::Back(job, Status::Ok));
-                    }
-                }
-            }
-            Event::Back(job, status) => {
-                self.ended(job, status, times);
-            }
+            Event::Done(job, node, starts) => self.done(job, node, starts),
+            Event::Back(job, status) => self.ended(job, status, times),
             Event::Until(job) => self.ended(job, Status::Timeout, times),
             Event::GaveUp(id) => {
                 self.auditor.gave_up(id, self.now);
-                let Some(request) = self.requests.get_mut(&id) else { return };
-                if !std::mem::replace(&mut request.answered, true) {
+                if let Some((asked, last)) = self.settle(id) {
                     self.tally.failed += 1;
-                    let instance = request.instance;
+                    self.lose(asked, last.unwrap_or(Loss::Queueing));
+                    let instance = self.requests[&id].instance;
                     self.tell(instance, Input::Gone(RequestId(id)));
                 }
+                self.requests.remove(&id);
             }
-            Event::Probed { instance, server, asked } => {
-                let node = self.instances[instance as usize].servers.get(&server).copied();
-                let well = node.filter(|n| {
-                    let place = &self.places[*n];
-                    matches!(place.node.mood, Mood::Serves | Mood::Fails) && !self.zones_lost[place.zone]
-                });
-                let still = well.is_some_and(|n| self.places[n].node.still > self.now);
-                let ended = match well.filter(|_| !still) {
-                    Some(node) => {
-                        let latency = Span(2 * self.scenario.fleet.network.us());
-                        Ended { status: Status::Ok, latency, load: self.report_of(node), body: None }
-                    }
-                    None if still => Ended::unsent(Status::Timeout),
-                    None => Ended::unsent(Status::ConnectFailed),
-                };
-                self.tell(instance, Input::Probed { server, asked, ended });
+            Event::Leaves(id) => {
+                if let Some((asked, _)) = self.settle(id) {
+                    self.auditor.left(id);
+                    self.tally.failed += 1;
+                    self.lose(asked, Loss::Wasted);
+                    let instance = self.requests[&id].instance;
+                    self.tell(instance, Input::Gone(RequestId(id)));
+                }
+            }
+            Event::Probed { instance, server, asked } => self.probed(instance, server, asked),
+            Event::Follow(instance) => {
+                let now = self.now;
+                if let Some(of) = self.instances.get_mut(&instance).filter(|of| of.follows == now) {
+                    of.follows = u64::MAX;
+                    self.follow(instance, None);
+                }
             }
-            Event::Told { instance, node, uid, state, boot } => {
-                let leaves = state != State::Ready;
-                let starts = self.places[node].starts;
-                if !leaves || self.places[node].uid == uid {
-                    self.auditor.told(instance, node, starts, leaves, self.now);
+            Event::Line(line) => {
+                let Line { instance, watch, listing, words, .. } = *line;
+                if self.service.holds(instance, watch) && self.instances.contains_key(&instance) {
+                    for (node, starts, state) in words {
+                        self.auditor.told(instance, node, starts, state != State::Ready, self.now);
+                    }
+                    self.follow(instance, Some(dunlincleat_directory::Input::Line(watch, listing)));
                 }
-                let entries = vec![self.entry(node, uid, state, boot)];
-                let delivery = Delivery { kind: ListKind::Changes, rev: 2, entries, odd: Vec::new() };
-                self.tell(instance, Input::Listed(delivery));
             }
-            Event::Step(step) => self.step(step),
+            Event::WatchEnds(instance, watch, cause) => {
+                self.follow(instance, Some(dunlincleat_directory::Input::Ended(watch, cause)));
+            }
+            Event::Beat => {
+                self.news(true);
+                self.at(self.now + HEARTBEAT.0, Event::Beat);
+            }
+            Event::Second => {
+                self.links.sweep(self.now);
+                let (opened, held) = (self.links.take_opened(), self.links.held() as u64);
+                let (calls, refused) = self.service.take_calls();
+                (self.tally.opened, self.tally.calls) =
+                    (self.tally.opened + opened, self.tally.calls + calls);
+                self.tally.calls_refused += refused;
+                let nodes = self.places.len();
+                let second = self.tally.second(self.now - 1, nodes);
+                (second.opened, second.held, second.calls) = (opened, held, calls);
+                self.at(self.now + 1_000_000, Event::Second);
+            }
+            Event::Up(caller) => {
+                let known = self.service.listing();
+                self.start(caller, known)?;
+            }
+            Event::Gone(instance) => self.instance_ends(instance),
+            Event::Step(step) => self.step(step)?,
+        }
+        Ok(())
+    }
+
+    fn done(&mut self, job: Job, node: usize, starts: u32) {
+        if self.places[node].starts != starts || !self.places[node].node.works_on(job) {
+            return;
+        }
+        let still = self.places[node].node.still;
+        if still > self.now {
+            return self.at(still, Event::Done(job, node, starts));
+        }
+        self.leaves_node(job, node);
+        let lost = self.chances.falls(Chance::AnswerLost, &mut self.rng);
+        if lost || !self.reach(job.instance, node) {
+            if let Some(flight) = self.flights.get_mut(&job) {
+                flight.lost = true;
+            }
+            return;
         }
+        let spoilt = self.chances.falls(Chance::Spoilt, &mut self.rng);
+        let status = if spoilt { Status::Error } else { Status::Ok };
+        self.at(self.now + self.scenario.fleet.network.us(), Event::Back(job, status));
+    }
+
+    fn probed(&mut self, instance: u32, server: ServerId, asked: SlotId) {
+        let node = self.instances.get(&instance).and_then(|of| of.servers.get(&server).copied());
+        let well = node.filter(|n| {
+            let mood = self.places[*n].node.mood;
+            matches!(mood, Mood::Serves | Mood::Fails) && self.reach(instance, *n)
+        });
+        let still = well.is_some_and(|n| self.places[n].node.still > self.now);
+        let ended = match well.filter(|_| !still) {
+            Some(node) => {
+                let latency = Span(2 * self.scenario.fleet.network.us());
+                Ended { status: Status::Ok, latency, load: self.report_of(node), body: None }
+            }
+            None if still => Ended::unsent(Status::Timeout),
+            None => Ended::unsent(Status::ConnectFailed),
+        };
+        self.tell(instance, Input::Probed { server, asked, ended });
     }
 
     fn arrive(&mut self, job: Job) {
-        let Some(Flight { node: Some(node), starts, .. }) = self.flights.get(&job) else { return };
-        let (node, starts, back) = (*node, *starts, self.now + self.scenario.fleet.network.us());
+        let Some(Flight { node: Some(node), starts, link, .. }) = self.flights.get(&job) else { return };
+        let (node, starts, new) = (*node, *starts, *link == Some(true));
+        let back = self.now + self.scenario.fleet.network.us();
         // Its process has gone meanwhile, and the connection with it.
         if starts != self.places[node].starts {
             return self.at(back, Event::Back(job, Status::ConnectFailed));
         }
-        let work = self.requests.get(&job.request).map_or(1.0, |request| request.work);
+        let nodes = self.places.len();
+        self.tally.second(self.now, nodes).arrived[node] += 1;
+        let work = self.requests.get(&job.request).map_or(1.0, |request| request.asked.work);
+        let work = work + self.scenario.fleet.handshake.filter(|_| new).map_or(0.0, |cost| cost.us() as f64);
         match self.places[node].node.take(self.now, job, work) {
             Taken::Works(ends) => {
                 self.auditor.began(job, self.now);
                 self.at(ends, Event::Done(job, node, starts));
             }
-            Taken::Waits | Taken::Swallowed => {}
+            Taken::Waits => {}
+            Taken::Swallowed => {
+                if let Some(flight) = self.flights.get_mut(&job) {
+                    flight.lost = true;
+                }
+            }
             Taken::Full => self.at(back, Event::Back(job, Status::Full)),
             Taken::Fails => {
                 self.auditor.began(job, self.now);
@@ -670,49 +941,87 @@
     /// A node's process ends: what it had is reset.
     fn down(&mut self, node: usize) {
         let back = self.now + self.scenario.fleet.network.us();
+        self.links.node_ends(node as u32);
         for job in self.places[node].node.die() {
             self.at(back, Event::Back(job, Status::Reset));
         }
     }
 
-    /// The list has something to tell of a node.
+    /// Discovery has something to tell of a node.
     fn list(&mut self, node: usize, uid: u32, state: State, boot: u64) {
-        if self.list_silent {
-            return self.untold.push((node, uid, state, boot));
+        let entry = entry(self.scenario, &self.places, node, uid, state, boot);
+        self.service.change(node, self.places[node].starts, entry);
+        self.news(false);
+    }
+
+    fn news(&mut self, beat: bool) {
+        let mut lines = std::mem::take(&mut self.lines);
+        self.service.tell(self.now, beat, &mut self.rng, &mut lines);
+        for line in lines.drain(..) {
+            self.at(line.at, Event::Line(Box::new(line)));
+        }
+        self.lines = lines;
+    }
+
+    /// An instance is gone, with all that it had: its connections break, its callers see that.
+    fn instance_ends(&mut self, instance: u32) {
+        let Some(Instance { caller, .. }) = self.instances.remove(&instance) else { return };
+        if self.callers[caller as usize].instance == Some(instance) {
+            self.callers[caller as usize].instance = None;
+        }
+        self.service.instance_ends(instance);
+        self.links.instance_ends(instance);
+        let mut out: Vec<Job> = self.flights.keys().filter(|job| job.instance == instance).copied().collect();
+        out.sort_unstable();
+        for job in out {
+            let Some(flight) = self.flights.remove(&job) else { continue };
+            self.auditor.ended(job, self.now);
+            let Some(node) = flight.node else { continue };
+            if flight.link.is_some() {
+                self.links.close(node as u32);
+            }
+            if self.places[node].starts == flight.starts {
+                self.leaves_node(job, node);
+            }
         }
-        let late = self.scenario.fleet.list_late.us();
-        for instance in 0..self.instances.len() {
-            let heard = self.now + (late as f64 * self.rng.random_range(0.5..1.0)) as u64;
-            // In order at each instance.
-            let heard = heard.max(self.instances[instance].heard);
-            self.instances[instance].heard = heard;
-            self.at(heard, Event::Told { instance: instance as u32, node, uid, state, boot });
+        let of = |request: &Request| request.instance == instance && !request.answered;
+        let mut left: Vec<u64> = self.requests.iter().filter(|(_, r)| of(r)).map(|(id, _)| *id).collect();
+        left.sort_unstable();
+        for id in left {
+            let Some((asked, last)) = self.settle(id) else { continue };
+            self.auditor.left(id);
+            let harmless = self.effects[asked.class] != Effect::Unsafe;
+            self.unserved(asked, harmless, false, last.unwrap_or(Loss::Away));
         }
     }
 
-    fn step(&mut self, step: Step) {
+    /// A node's next process begins.
+    fn anew(&mut self, node: usize) {
+        let now = self.now;
+        let place = &mut self.places[node];
+        place.starts += 1;
+        place.state = State::Ready;
+        let lost = place.node.restart(now);
+        debug_assert!(lost.is_empty());
+        let uid = place.uid;
+        self.list(node, uid, State::Ready, now);
+    }
+
+    fn step(&mut self, step: Step) -> Result<()> {
         match step {
             Step::Die(node) => self.down(node),
-            Step::Return(node) | Step::Replace(node) => {
-                let replaced = matches!(step, Step::Replace(_));
+            Step::Return(node) => {
                 // It was replaced meanwhile: there is nothing to come back.
-                if !replaced && self.places[node].node.mood != Mood::Dead {
-                    return;
+                if self.places[node].node.mood == Mood::Dead {
+                    self.anew(node);
                 }
-                if replaced {
-                    self.down(node);
-                    let uid = self.places[node].uid;
-                    self.list(node, uid, State::Gone, 0);
-                    self.places[node].uid += self.places.len() as u32;
-                }
-                let now = self.now;
-                let place = &mut self.places[node];
-                place.starts += 1;
-                place.state = State::Ready;
-                let lost = place.node.restart(now);
-                debug_assert!(lost.is_empty());
-                let uid = place.uid;
-                self.list(node, uid, State::Ready, now);
+            }
+            Step::Replace(node) => {
+                self.down(node);
+                let uid = self.places[node].uid;
+                self.list(node, uid, State::Gone, 0);
+                self.places[node].uid += self.places.len() as u32;
+                self.anew(node);
             }
             Step::Drain(node) => {
                 self.places[node].state = State::Draining;
@@ -728,27 +1037,76 @@
             Step::Slow(node, factor) => self.places[node].node.slow = factor,
             Step::Still(node, each) => self.places[node].node.still = self.now + each,
             Step::Zone(zone, lost) => self.zones_lost[zone] = lost,
+            Step::ZoneAnew(zone) => {
+                for node in 0..self.places.len() {
+                    if self.places[node].zone == zone && self.places[node].node.mood != Mood::Dead {
+                        self.down(node);
+                        self.anew(node);
+                    }
+                }
+            }
+            Step::Cut(from, to, cut) => self.cut[from][to] = cut,
             Step::List(silent) => {
-                self.list_silent = silent;
+                self.service.silence(silent);
                 if !silent {
-                    for (node, uid, state, boot) in std::mem::take(&mut self.untold) {
-                        self.list(node, uid, state, boot);
-                    }
+                    self.news(false);
                 }
             }
             Step::Burst(factor) => self.burst *= factor,
+            Step::Shift(zone, factor) => self.shift[zone] *= factor,
+            Step::Chance(chance, part) => self.chances.set(chance, part),
+            Step::GivesUp(after) => self.gives_up = after,
+            Step::Tries(tries) => self.abuse_tries = tries,
+            Step::Restart(caller, how, back) => {
+                let Some(instance) = self.callers[caller].instance else { return Ok(()) };
+                match how {
+                    How::Death => self.instance_ends(instance),
+                    How::Term => {
+                        self.callers[caller].instance = None;
+                        self.at(self.now + self.longest() + 1_000_000, Event::Gone(instance));
+                    }
+                }
+                self.at(self.now + back, Event::Up(caller as u32));
+            }
+            Step::Reload(factor) => {
+                for class in &mut self.told.classes {
+                    let aim = (class.aim.us() as f64 * factor) as u64;
+                    class.aim.0 = Span(aim.clamp(1, class.deadline.us()));
+                }
+                for caller in 0..self.callers.len() as u32 {
+                    let Some(instance) = self.callers[caller as usize].instance else { continue };
+                    let site = std::sync::Arc::new(self.site(caller)?);
+                    self.tell(instance, Input::Settings { site, watched: None });
+                }
+            }
         }
+        Ok(())
     }
 
-    fn report(self, policy: Policy, seed: u64, times: &Histogram<u64>) -> Report {
-        let Tally { wanted, in_time, late, refused, failed, attempts, probes, outcomes, by_second } =
-            self.tally;
+    fn report(self, times: &Histogram<u64>, seconds: bool) -> Report {
+        let Tally { wanted, in_time, late, refused, failed, attempts, probes, outcomes, .. } = self.tally;
+        let lasts = self.scenario.lasts.us();
+        let mut played = self.tally.seconds;
+        // What comes after the last request is asked belongs to no second of the day.
+        played.truncate(lasts.div_ceil(1_000_000) as usize);
         let part = |count: u64| count as f64 / wanted.max(1) as f64;
+        let worth_wanted: f64 = played.iter().map(|s| s.wanted).sum();
+        let of_worth = |worth: f64| if worth_wanted > 0.0 { worth / worth_wanted } else { 0.0 };
+        let mut losses: BTreeMap<String, f64> = BTreeMap::new();
+        for (name, worth) in played.iter().flat_map(|second| &second.lost) {
+            *losses.entry(name.clone()).or_default() += worth;
+        }
+        losses.values_mut().for_each(|worth| *worth = of_worth(*worth));
+        let minutes = lasts as f64 / 60e6 * self.callers.len() as f64;
         let (broken, cases) = self.auditor.found();
+        let mark = |fault: &Fault| {
+            let (from, to) = fault.span();
+            Mark { name: fault.name().to_owned(), from_s: from as f64 / 1e6, to_s: to as f64 / 1e6 }
+        };
         Report {
-            v: 1,
+            v: 2,
             scenario: self.scenario.name.clone(),
-            policy: match policy {
+            policy: match self.policy {
                 Policy::Module => "module".to_owned(),
                 Policy::Baseline(choice) => Choice::ALL
                     .iter()
@@ -756,22 +1114,33 @@
                     .map_or("baseline", |(name, _)| name)
                     .to_owned(),
                 Policy::Mutant(plant) => format!("mutant {plant:?}"),
+                Policy::Without(without) => format!("without {without:?}"),
             },
-            seed,
+            seed: self.seed,
             wanted,
-            worth: part(in_time) + 0.5 * part(late),
+            worth: of_worth(played.iter().map(|s| s.served).sum()),
             in_time: part(in_time),
             late: part(late),
             refused: part(refused),
             failed: part(failed),
             attempts: part(attempts),
             probes: part(probes),
+            connections: part(self.tally.opened),
+            list_calls: self.tally.calls as f64 / minutes.max(1e-9),
+            list_refused: self.tally.calls_refused as f64 / self.tally.calls.max(1) as f64,
             p50_ms: times.value_at_quantile(0.5) as f64 / 1e3,
             p99_ms: times.value_at_quantile(0.99) as f64 / 1e3,
+            recovery_s: recovery(&played, self.scenario.troubled(), lasts),
+            worst_cold: self.places.iter().map(|place| place.node.worst).fold(0.0, f64::max),
+            most_connections: self.links.most_at_one(),
+            held: self.tally.held,
+            losses,
             outcomes,
-            worth_by_second: by_second.iter().map(|(n, worth)| worth / (*n).max(1) as f64).collect(),
+            worth_by_second: played.iter().map(|s| s.served / s.wanted.max(1e-9)).collect(),
             broken: broken.into_iter().map(|(rule, count)| (rule.to_owned(), count)).collect(),
             cases,
+            marks: if seconds { self.scenario.faults.iter().map(mark).collect() } else { Vec::new() },
+            seconds: if seconds { played } else { Vec::new() },
         }
     }
 }
--- a/crates/fleet/tests/days.rs
+++ b/crates/fleet/tests/days.rs
@@ -2,8 +2,9 @@
 
 use dunlincleat::api::Span;
 use dunlincleat_fleet::mutant::Plant;
+use dunlincleat_fleet::report::Report;
 use dunlincleat_fleet::scenario::{Scenario, Time};
-use dunlincleat_fleet::world::{Policy, Report, play};
+use dunlincleat_fleet::world::{Policy, play};
 use std::path::Path;
 
 fn shipped() -> Vec<(String, Scenario)> {
@@ -83,13 +84,20 @@
 fn a_scenario_at_fault_names_its_key() {
     let text = include_str!("../scenarios/zone-loss.toml");
     for (from, to, said) in [
-        ("zone = \"b\"", "zone = \"c\"", "fault[0].zone: 'c' is none of a, b"),
+        ("zone = \"b\"", "zone = \"c\"", "line 45: fault[0].zone: 'c' is none of a, b"),
         ("lasts = \"20s\"", "lasts = \"20\"", "'20' is no duration"),
         ("nodes = 12", "nodez = 12", "unknown field `nodez`"),
         ("at = \"6s\"", "at = \"60s\"", "fault[0].at: 60s is after the end, 20s"),
         ("semantics = \"fragile\"", "semantics = \"odd\"", "unknown semantics 'odd'"),
-        ("aim = \"300ms\"", "aim = \"3s\"", "is over deadline"),
-        ("rate_per_s = 850", "rate_per_s = 0", "traffic.rate_per_s: over 0"),
+        ("aim = \"300ms\"", "aim = \"3s\"", "class[0].aim: 3s is over deadline, 740ms"),
+        (
+            "nodes = 12",
+            "nodes = { from = 12, to = 9 }",
+            "line 5: fleet.nodes: from 12 to 9: from is at most to",
+        ),
+        ("nodes = 12", "nodes = { from = 12, to = \"9s\" }", "both ends are numbers, or both are durations"),
+        ("aim = \"300ms\"", "aim = { from = \"1s\", to = \"2\" }", "both ends are durations, as \"80ms\""),
+        ("rate_per_s = 850", "rate_per_s = 0", "line 10: traffic.rate_per_s: 0 is not from 0.001 to 1000000"),
     ] {
         let error = Scenario::read(&text.replacen(from, to, 1)).unwrap_err();
         assert!(format!("{error:#}").contains(said), "{error:#}");
--- /dev/null
+++ b/crates/lab/src/html.rs
@@ -0,0 +1,244 @@
+//! Results as one page that opens from disk: plots in it as SVG, nothing fetched.
+
+use crate::results::{Played, Run};
+use anyhow::{Result, anyhow, bail};
+use dunlincleat_fleet::report::{Loss, Second};
+use plotters::prelude::*;
+use std::fmt::Write;
+
+const SIZE: (u32, u32) = (900, 260);
+const COLOURS: [RGBColor; 7] = [
+    RGBColor(120, 60, 140),
+    RGBColor(220, 130, 30),
+    RGBColor(60, 140, 200),
+    RGBColor(150, 150, 150),
+    RGBColor(200, 50, 50),
+    RGBColor(230, 200, 60),
+    RGBColor(40, 90, 60),
+];
+
+/// Text that is safe in the page.
+fn safe(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+}
+
+/// The page of some runs.
+pub fn page(runs: &[Run]) -> Result<String> {
+    if runs.iter().all(|run| run.days.is_empty()) {
+        bail!(
+            "no day in these results; right would be a folder of files that `run --out FILE --seconds` wrote"
+        );
+    }
+    let mut page = String::from(
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>dunlincleat: simulated days</title><style>\
+         body{font:15px sans-serif;max-width:960px;margin:2em auto;padding:0 1em}\
+         table{border-collapse:collapse}td,th{padding:.2em .7em;border-bottom:1px solid #ccc;text-align:right}\
+         th:first-child,td:first-child{text-align:left}.bad{color:#b00;font-weight:bold}svg{max-width:100%;height:auto}\
+         </style></head><body><h1>Simulated days</h1><p>All figures are simulated: stand-in nodes, callers and list around \
+         the engine that serves.</p><table><tr><th>scenario</th><th>policy</th><th>seed</th><th>worth</th>\
+         <th>largest loss</th><th>recovery, s</th><th>connections a request</th><th>probes a request</th><th>list calls a minute</th>\
+         <th>worst cold</th><th>rules broken</th></tr>",
+    );
+    for day in runs.iter().flat_map(|run| &run.days) {
+        let broken: u64 = day.broken.values().sum();
+        let recovery = day.recovery_s.map_or("-".into(), |s| format!("{s:.1}"));
+        let largest = day.losses.iter().max_by(|a, b| a.1.total_cmp(b.1));
+        let largest = largest.map_or("-".into(), |(name, part)| format!("{name} {part:.3}"));
+        let bad = if broken > 0 { " class=\"bad\"" } else { "" };
+        write!(
+            page,
+            "<tr><td>{}</td><td>{}</td><td>{}</td><td>{:.3}</td><td>{largest}</td><td>{recovery}</td><td>{:.3}</td><td>{:.3}</td>\
+             <td>{:.2}</td><td>{:.2}</td><td{bad}>{broken}</td></tr>",
+            safe(&day.scenario),
+            safe(&day.policy),
+            day.seed,
+            day.worth,
+            day.connections,
+            day.probes,
+            day.list_calls,
+            day.worst_cold
+        )?;
+    }
+    page.push_str("</table>");
+    for run in runs {
+        if run.partial() {
+            write!(
+                page,
+                "<p class=\"bad\">Partial: {} of {} days of {} ({}) are here; the run was interrupted.</p>",
+                run.days.len(),
+                run.plan.seeds.len(),
+                safe(&run.plan.plan),
+                safe(&run.plan.policy)
+            )?;
+        }
+        for day in run.days.iter().filter(|day| !day.seconds.is_empty()) {
+            write!(page, "<h2>{}, {}, seed {}</h2>", safe(&day.scenario), safe(&day.policy), day.seed)?;
+            for (title, plot) in [
+                ("Goodput, as a part of what was wanted; faults are marked", goodput(day)?),
+                ("Worth lost by cause, as a part of what was wanted", losses(day)?),
+                ("Connections opened and probes sent a second over the fleet, calls for lists", costs(day)?),
+                ("Attempts that arrived at each node: time to the right, nodes upwards", heat(&day.seconds)?),
+            ] {
+                write!(page, "<h3>{title}</h3>{plot}")?;
+            }
+        }
+    }
+    page.push_str("</body></html>\n");
+    Ok(page)
+}
+
+fn fault(error: impl std::fmt::Display) -> anyhow::Error {
+    anyhow!("a plot could not be drawn: {error}")
+}
+
+type Line<'a> = (&'a str, RGBColor, Vec<f64>);
+
+/// Lines over the seconds, with the faults marked behind them.
+fn lines(day: &Played, lines: &[Line]) -> Result<String> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let most = lines.iter().flat_map(|(_, _, values)| values).copied().fold(0.0, f64::max).max(1e-9);
+        let lasts = day.seconds.len() as f64;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..lasts.max(1.0), 0.0..most * 1.05)
+            .map_err(fault)?;
+        chart.configure_mesh().disable_x_mesh().x_desc("s").draw().map_err(fault)?;
+        for mark in &day.marks {
+            let over = [(mark.from_s, 0.0), (mark.to_s.max(mark.from_s + 0.1).min(lasts), most * 1.05)];
+            let style = RGBColor(200, 60, 60).mix(0.09).filled();
+            chart.draw_series([Rectangle::new(over, style)]).map_err(fault)?;
+            let place = (mark.from_s, most * 1.04);
+            let label = Text::new(mark.name.clone(), place, ("sans-serif", 11));
+            chart.draw_series([label]).map_err(fault)?;
+        }
+        for (name, colour, values) in lines {
+            let points = values.iter().enumerate().map(|(n, value)| (n as f64 + 0.5, *value));
+            let colour = *colour;
+            chart
+                .draw_series(LineSeries::new(points, colour.stroke_width(2)))
+                .map_err(fault)?
+                .label(*name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2)));
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::LowerRight)
+            .background_style(WHITE.mix(0.8))
+            .border_style(RGBColor(200, 200, 200))
+            .draw()
+            .map_err(fault)?;
+        area.present().map_err(fault)?;
+    }
+    Ok(svg)
+}
+
+fn goodput(day: &Played) -> Result<String> {
+    let served = day.seconds.iter().map(|s| s.served / s.wanted.max(1e-9)).collect();
+    lines(day, &[("served", RGBColor(30, 110, 60), served)])
+}
+
+fn losses(day: &Played) -> Result<String> {
+    let of = |name: &str| -> Vec<f64> {
+        let lost = |s: &Second| s.lost.get(name).copied().unwrap_or(0.0) / s.wanted.max(1e-9);
+        day.seconds.iter().map(lost).collect()
+    };
+    let all: Vec<Line> =
+        Loss::ALL.iter().zip(COLOURS).map(|((_, name), colour)| (*name, colour, of(name))).collect();
+    lines(day, &all)
+}
+
+fn costs(day: &Played) -> Result<String> {
+    let of = |figure: fn(&Second) -> u64| day.seconds.iter().map(|s| figure(s) as f64).collect();
+    lines(
+        day,
+        &[
+            ("connections opened", COLOURS[1], of(|s| s.opened)),
+            ("probes", COLOURS[2], of(|s| s.probes)),
+            ("calls for lists", COLOURS[4], of(|s| s.calls)),
+        ],
+    )
+}
+
+/// Load by node: a cell for each node and second, darker where more arrived.
+fn heat(seconds: &[Second]) -> Result<String> {
+    let nodes = seconds.iter().map(|s| s.arrived.len()).max().unwrap_or(0);
+    let most = seconds.iter().flat_map(|s| &s.arrived).copied().max().unwrap_or(0).max(1);
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0..seconds.len().max(1), 0..nodes.max(1))
+            .map_err(fault)?;
+        chart.configure_mesh().disable_mesh().x_desc("s").draw().map_err(fault)?;
+        // One cell for neighbours of one shade: two hundred nodes over a minute are twelve thousand else.
+        let shade = |count: u32| (count * 9).div_ceil(most);
+        for (at, second) in seconds.iter().enumerate() {
+            let mut from = 0;
+            for node in 1..=second.arrived.len() {
+                if node < second.arrived.len() && shade(second.arrived[node]) == shade(second.arrived[from]) {
+                    continue;
+                }
+                let level = shade(second.arrived[from]);
+                if level > 0 {
+                    let style = RGBColor(20, 60, 130).mix(f64::from(level) / 9.0).filled();
+                    let cell = Rectangle::new([(at, from), (at + 1, node)], style);
+                    chart.draw_series([cell]).map_err(fault)?;
+                }
+                from = node;
+            }
+        }
+        area.present().map_err(fault)?;
+    }
+    Ok(svg)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::results::Plan;
+    use std::collections::BTreeMap;
+
+    #[test]
+    fn a_page_stands_alone_and_says_what_is_partial() {
+        let seconds = (0..20)
+            .map(|n| Second {
+                wanted: 100.0,
+                served: 90.0 - f64::from(n),
+                lost: BTreeMap::from([("queueing".to_owned(), f64::from(n))]),
+                arrived: (0..50).map(|node| (node * n) as u32).collect(),
+                ..Second::default()
+            })
+            .collect();
+        let mark = dunlincleat_fleet::report::Mark { name: "cut".into(), from_s: 3.0, to_s: 6.0 };
+        let day = Played {
+            scenario: "a <b>".into(),
+            policy: "module".into(),
+            seed: 4,
+            worth: 0.8,
+            probes: 0.0,
+            connections: 0.1,
+            list_calls: 1.0,
+            recovery_s: Some(2.5),
+            worst_cold: 0.3,
+            losses: BTreeMap::new(),
+            broken: BTreeMap::from([("drains".to_owned(), 2)]),
+            seconds,
+            marks: vec![mark],
+        };
+        let plan = Plan { v: 2, plan: "a.toml".into(), policy: "module".into(), seeds: vec![4, 5] };
+        let page = page(&[Run { plan, days: vec![day] }]).unwrap();
+        assert_eq!(page.matches("<svg").count(), 4);
+        assert!(page.contains("a &lt;b&gt;") && !page.contains("a <b>"));
+        assert!(page.contains("Partial: 1 of 2 days") && page.contains(">cut<") || page.contains("cut\n"));
+        // Nothing is fetched: no address but the name of the format.
+        let addresses = page.replace("http://www.w3.org/2000/svg", "");
+        assert!(!addresses.contains("http") && !addresses.contains("src=") && !addresses.contains("<script"));
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,21 +1,30 @@
-//! `dunlincleat-lab`: plays scenarios in simulated time. Every figure that it prints is simulated.
+//! `dunlincleat-lab`: plays scenarios in simulated time, and a first look on loopback around the real sidecar. Every figure
+//! of the first kind is simulated.
 
 #![forbid(unsafe_code)]
 
-use anyhow::{Context, Result, anyhow, bail};
+mod days;
+mod demo;
+mod gate;
+mod html;
+mod memory;
+mod results;
+
+use anyhow::{Context, Result, bail};
 use clap::{Parser, Subcommand};
-use dunlincleat_fleet::Scenario;
+use days::{Day, File, mean, part_of, play_all, policy_of};
 use dunlincleat_fleet::baseline::Choice;
-use dunlincleat_fleet::world::{Policy, Report, play};
+use dunlincleat_fleet::report::Report;
+use dunlincleat_fleet::world::Policy;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
 
-/// Experiments in simulated time.
+/// Experiments in simulated time, and a first look.
 #[derive(Parser)]
 #[command(name = "dunlincleat-lab", version, about)]
 struct Cli {
@@ -25,6 +34,8 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Twenty seconds of the real sidecar on loopback, with a server stalled and one drained; exit 1 where a rule was broken
+    Demo(demo::Wanted),
     /// Play a scenario: one JSON line a seed; exit 1 where a rule was broken
     Run {
         /// The scenario
@@ -35,10 +46,16 @@
         /// How many seeds
         #[arg(long, default_value_t = 1)]
         seeds: u64,
-        /// module, random, round-robin, least-in-hand, two-choices or peak-delay
+        /// module, a baseline (random, round-robin, least-in-hand, two-choices, peak-delay) or without-PART
         #[arg(long, default_value = "module")]
         policy: String,
-        /// A file to which the lines are added, instead of standard output
+        /// Play a part of the fleet
+        #[arg(long, default_value_t = 1.0)]
+        scale: f64,
+        /// Keep each second, for `report`
+        #[arg(long)]
+        seconds: bool,
+        /// A file to which the lines are added as days are done, instead of standard output
         #[arg(long)]
         out: Option<PathBuf>,
     },
@@ -53,6 +70,9 @@
         /// How many seeds
         #[arg(long, default_value_t = 8)]
         seeds: u64,
+        /// Play a part of the fleet
+        #[arg(long, default_value_t = 1.0)]
+        scale: f64,
     },
     /// All scenarios of a folder against all policies, as a table
     Table {
@@ -61,43 +81,37 @@
         /// How many seeds
         #[arg(long, default_value_t = 3)]
         seeds: u64,
+        /// Play a part of the fleet
+        #[arg(long, default_value_t = 1.0)]
+        scale: f64,
+    },
+    /// Hold a folder's scenarios against its band, gate.toml; exit 1 with each scenario, seed and figure outside it
+    Gate {
+        /// The folder
+        folder: PathBuf,
+        /// Take something out, to see that the gate tells: turns, few-servers or worth
+        #[arg(long)]
+        without: Option<String>,
+    },
+    /// Results of a folder as one HTML page with plots, on standard output or in a file
+    Report {
+        /// The folder of files that `run --out FILE --seconds` wrote
+        folder: PathBuf,
+        /// The file
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// What a day at size costs: real time, memory and both for each instance
+    Size {
+        /// The scenario
+        scenario: PathBuf,
+        /// Play a part of the fleet, or a multiple
+        #[arg(long, default_value_t = 1.0)]
+        scale: f64,
+        /// The seed
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
     },
-}
-
-fn policy_of(name: &str) -> Result<Policy> {
-    if name == "module" {
-        return Ok(Policy::Module);
-    }
-    let known = Choice::ALL.map(|(name, _)| name).join(", ");
-    Choice::named(name).map(Policy::Baseline).ok_or_else(|| anyhow!("no policy '{name}': module, {known}"))
-}
-
-fn read(path: &Path) -> Result<Scenario> {
-    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
-    Scenario::read(&text).with_context(|| path.display().to_string())
-}
-
-/// Plays many days on all cores, in the order in which they were asked for.
-fn play_all(days: &[(&Scenario, Policy, u64)]) -> Result<Vec<Report>> {
-    let next = AtomicUsize::new(0);
-    let done = Mutex::new((0..days.len()).map(|_| None).collect::<Vec<Option<Result<Report>>>>());
-    let workers = std::thread::available_parallelism().map_or(1, usize::from).min(days.len().max(1));
-    std::thread::scope(|scope| {
-        for _ in 0..workers {
-            scope.spawn(|| {
-                loop {
-                    let n = next.fetch_add(1, Ordering::Relaxed);
-                    let Some((scenario, policy, seed)) = days.get(n) else { return };
-                    let report = play(scenario, *policy, *seed);
-                    if let Ok(mut done) = done.lock() {
-                        done[n] = Some(report);
-                    }
-                }
-            });
-        }
-    });
-    let done = done.into_inner().map_err(|_| anyhow!("a day ended in a fault of the tool"))?;
-    done.into_iter().map(|report| report.context("a day was not played")?).collect()
 }
 
 fn say(text: &str) {
@@ -105,10 +119,6 @@
     let _ = writeln!(std::io::stdout(), "{text}");
 }
 
-fn mean(values: &[f64]) -> f64 {
-    values.iter().sum::<f64>() / values.len().max(1) as f64
-}
-
 /// The 95% interval of a mean, by drawing from the values again and again.
 fn interval(values: &[f64]) -> (f64, f64) {
     let mut rng = SmallRng::seed_from_u64(1);
@@ -120,77 +130,152 @@
     (means[50], means[1949])
 }
 
+fn days_of(file: &File, policy: Policy, seeds: &[u64], scale: f64) -> Result<Vec<Day>> {
+    if !(scale > 0.0 && scale <= 100.0) {
+        bail!("--scale: {scale} is not over 0 and at most 100");
+    }
+    let day = |seed: &u64| -> Result<Day> {
+        let scenario = file.drawn(*seed)?;
+        let scenario = if scale == 1.0 { scenario } else { scenario.scaled(scale) };
+        Ok(Day { scenario, policy, seed: *seed })
+    };
+    seeds.iter().map(day).collect()
+}
+
 fn run() -> Result<ExitCode> {
     match Cli::parse().command {
-        Command::Run { scenario, seed, seeds, policy, out } => {
-            let (scenario, policy) = (read(&scenario)?, policy_of(&policy)?);
-            let days: Vec<_> =
-                (seed..seed.saturating_add(seeds)).map(|seed| (&scenario, policy, seed)).collect();
-            let reports = play_all(&days)?;
-            let lines = reports.iter().map(serde_json::to_string).collect::<Result<Vec<String>, _>>()?;
-            match out {
-                None => lines.iter().for_each(|line| say(line)),
+        Command::Demo(wanted) => demo::run(wanted),
+        Command::Run { scenario, seed, seeds, policy, scale, seconds, out } => {
+            let (file, of) = (File::read(&scenario)?, policy_of(&policy)?);
+            let all: Vec<u64> = (seed..seed.saturating_add(seeds)).collect();
+            let days = days_of(&file, of, &all, scale)?;
+            let reports = match out {
+                None => {
+                    let reports = play_all(&days, seconds, |_, _| {})?;
+                    for report in &reports {
+                        say(&serde_json::to_string(report)?);
+                    }
+                    reports
+                }
                 Some(path) => {
-                    let mut file = std::fs::OpenOptions::new().create(true).append(true).open(&path)?;
-                    for line in lines {
-                        writeln!(file, "{line}").with_context(|| path.display().to_string())?;
+                    let plan = scenario.display().to_string();
+                    let writer = Mutex::new(results::Writer::begin(&path, &plan, &policy, &all)?);
+                    let fault = Mutex::new(None);
+                    let reports = play_all(&days, seconds, |_, report| {
+                        let written = writer.lock().map(|mut writer| writer.line(report));
+                        if let (Ok(Err(error)), Ok(mut fault)) = (written, fault.lock()) {
+                            *fault = Some(error);
+                        }
+                    })?;
+                    if let Some(error) = fault.into_inner().ok().flatten() {
+                        return Err(error).with_context(|| path.display().to_string());
                     }
+                    reports
                 }
-            }
+            };
             let broken = reports.iter().any(|report| !report.broken.is_empty());
             Ok(if broken { ExitCode::from(1) } else { ExitCode::SUCCESS })
         }
-        Command::Compare { scenario, a, b, seeds } => {
+        Command::Compare { scenario, a, b, seeds, scale } => {
             if seeds < 2 {
                 bail!("--seeds: at least 2, or there is no interval");
             }
-            let scenario = read(&scenario)?;
-            let days = |policy| (1..=seeds).map(|seed| (&scenario, policy, seed)).collect::<Vec<_>>();
-            let (first, second) = (play_all(&days(policy_of(&a)?))?, play_all(&days(policy_of(&b)?))?);
+            let file = File::read(&scenario)?;
+            let seeds: Vec<u64> = (1..=seeds).collect();
+            let played = |name: &str| -> Result<Vec<Report>> {
+                play_all(&days_of(&file, policy_of(name)?, &seeds, scale)?, false, |_, _| {})
+            };
+            let (first, second) = (played(&a)?, played(&b)?);
             let differ: Vec<f64> = first.iter().zip(&second).map(|(a, b)| a.worth - b.worth).collect();
             let (low, high) = interval(&differ);
             let worths = |reports: &[Report]| mean(&reports.iter().map(|r| r.worth).collect::<Vec<_>>());
             say(&format!(
-                "{}: {a} {:.3}, {b} {:.3}; difference {:+.3}, 95% from {low:+.3} to {high:+.3} ({seeds} paired seeds)",
-                scenario.name,
+                "{}: {a} {:.3}, {b} {:.3}; difference {:+.3}, 95% from {low:+.3} to {high:+.3} ({} paired seeds)",
+                first.first().map_or("", |report| &report.scenario),
                 worths(&first),
                 worths(&second),
-                mean(&differ)
+                mean(&differ),
+                seeds.len()
+            ));
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Table { folder, seeds, scale } => table(&folder, seeds, scale),
+        Command::Gate { folder, without } => {
+            let policy = without.map_or(Ok(Policy::Module), |name| part_of(&name).map(Policy::Without))?;
+            let (shown, fails) = gate::gate(&folder, policy)?;
+            shown.iter().for_each(|line| say(line));
+            fails.iter().for_each(|line| say(&format!("FAILED: {line}")));
+            say(if fails.is_empty() { "gate passed" } else { "gate failed" });
+            Ok(if fails.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) })
+        }
+        Command::Report { folder, out } => {
+            let entries = std::fs::read_dir(&folder).with_context(|| folder.display().to_string())?;
+            let mut paths: Vec<PathBuf> = entries.filter_map(|e| Some(e.ok()?.path())).collect();
+            paths.retain(|path| path.extension().is_some_and(|e| e == "jsonl"));
+            paths.sort();
+            let runs = paths.iter().map(|path| results::read(path)).collect::<Result<Vec<_>>>()?;
+            let page = html::page(&runs.concat()).with_context(|| folder.display().to_string())?;
+            match out {
+                None => say(&page),
+                Some(path) => std::fs::write(&path, page).with_context(|| path.display().to_string())?,
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Size { scenario, scale, seed } => {
+            let file = File::read(&scenario)?;
+            let day = days_of(&file, Policy::Module, &[seed], scale)?.remove(0);
+            let begun = Instant::now();
+            let report = play_all(std::slice::from_ref(&day), false, |_, _| {})?.remove(0);
+            let took = begun.elapsed();
+            let held = memory::an_instance(&day.scenario, Policy::Module, seed)?;
+            let instances = day.scenario.traffic.instances;
+            let attempts = report.attempts * report.wanted as f64;
+            say(
+                "| instances | nodes | requests | real time | peak memory | an instance | an attempt | worth | rules |",
+            );
+            say("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+            say(&format!(
+                "| {instances} | {} | {} | {:.1} s | {:.0} MiB | {:.1} KiB, {:.1} ms | {:.2} us | {:.3} | {} |",
+                day.scenario.fleet.nodes,
+                report.wanted,
+                took.as_secs_f64(),
+                memory::peak() as f64 / f64::from(1 << 20),
+                held / 1024.0,
+                took.as_secs_f64() * 1e3 / instances as f64,
+                took.as_secs_f64() * 1e6 / attempts.max(1.0),
+                report.worth,
+                if report.broken.is_empty() { "kept" } else { "BROKEN" }
             ));
             Ok(ExitCode::SUCCESS)
         }
-        Command::Table { folder, seeds } => table(&folder, seeds),
     }
 }
 
-fn table(folder: &Path, seeds: u64) -> Result<ExitCode> {
-    let entries = std::fs::read_dir(folder).with_context(|| folder.display().to_string())?;
-    let mut paths: Vec<PathBuf> = entries.filter_map(|e| Some(e.ok()?.path())).collect();
-    paths.retain(|path| path.extension().is_some_and(|e| e == "toml"));
-    paths.sort();
-    let scenarios = paths.iter().map(|path| read(path)).collect::<Result<Vec<_>>>()?;
+fn table(folder: &Path, seeds: u64, scale: f64) -> Result<ExitCode> {
+    let files = File::folder(folder)?;
+    let seeds: Vec<u64> = (1..=seeds).collect();
     let mut policies = vec![("module", Policy::Module)];
     policies.extend(Choice::ALL.map(|(name, choice)| (name, Policy::Baseline(choice))));
     let mut days = Vec::new();
-    for scenario in &scenarios {
+    for file in &files {
         for (_, policy) in &policies {
-            days.extend((1..=seeds).map(|seed| (scenario, *policy, seed)));
+            days.extend(days_of(file, *policy, &seeds, scale)?);
         }
     }
-    let reports = play_all(&days)?;
+    let reports = play_all(&days, false, |_, _| {})?;
     let names: Vec<&str> = policies.iter().map(|(name, _)| *name).collect();
     say(&format!("| scenario | {} |", names.join(" | ")));
     say(&format!("| --- |{}", " --- |".repeat(names.len())));
     let mut broken = false;
-    for (scenario, of_scenario) in scenarios.iter().zip(reports.chunks(policies.len() * seeds as usize)) {
-        let cells = of_scenario.chunks(seeds as usize).map(|days| {
+    for of_scenario in reports.chunks(policies.len() * seeds.len()) {
+        let cells = of_scenario.chunks(seeds.len()).map(|days| {
             let worth = mean(&days.iter().map(|day| day.worth).collect::<Vec<_>>());
             let rules: u64 = days.iter().flat_map(|day| day.broken.values()).sum();
             if rules > 0 { format!("{worth:.3} ({rules} broken)") } else { format!("{worth:.3}") }
         });
         let cells: Vec<String> = cells.collect();
-        broken |= of_scenario[..seeds as usize].iter().any(|day| !day.broken.is_empty());
-        say(&format!("| {} | {} |", scenario.name, cells.join(" | ")));
+        broken |= of_scenario[..seeds.len()].iter().any(|day| !day.broken.is_empty());
+        say(&format!("| {} | {} |", of_scenario[0].scenario, cells.join(" | ")));
     }
     Ok(if broken { ExitCode::from(1) } else { ExitCode::SUCCESS })
 }
--- /dev/null
+++ b/crates/lab/src/results.rs
@@ -0,0 +1,156 @@
+//! The file of results that `run` writes: a first line that says what was asked for, then a line a day as it is done. One
+//! that was cut off is read up to its last whole line, and is known to be a part.
+
+use anyhow::{Context, Result, bail};
+use dunlincleat_fleet::report::{Mark, Second};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fs::{File, OpenOptions};
+use std::io::Write;
+use std::path::Path;
+
+/// The version of this format.
+const VERSION: u32 = 2;
+
+/// The first line of a run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Plan {
+    /// The version.
+    pub v: u32,
+    /// The scenario's file.
+    pub plan: String,
+    /// The policy.
+    pub policy: String,
+    /// The seeds that were to be played.
+    pub seeds: Vec<u64>,
+}
+
+/// A day, as far as a reader needs it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Played {
+    /// The scenario's name.
+    pub scenario: String,
+    /// The policy.
+    pub policy: String,
+    /// The seed.
+    pub seed: u64,
+    /// The worth served.
+    pub worth: f64,
+    /// Probes for each request.
+    pub probes: f64,
+    /// Connections for each request.
+    pub connections: f64,
+    /// Calls for lists by each instance in a minute.
+    pub list_calls: f64,
+    /// From the end of the last cause to 95% of the goodput before.
+    pub recovery_s: Option<f64>,
+    /// The most that a cold node was sent, against what pushes it over.
+    pub worst_cold: f64,
+    /// The worth lost by cause.
+    pub losses: BTreeMap<String, f64>,
+    /// How often each rule was broken.
+    pub broken: BTreeMap<String, u64>,
+    /// Each second, where it was kept.
+    #[serde(default)]
+    pub seconds: Vec<Second>,
+    /// What went wrong when.
+    #[serde(default)]
+    pub marks: Vec<Mark>,
+}
+
+/// A run that was read.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// What was asked for.
+    pub plan: Plan,
+    /// What is there.
+    pub days: Vec<Played>,
+}
+
+impl Run {
+    /// Not all that was asked for is there.
+    pub fn partial(&self) -> bool {
+        self.days.len() < self.plan.seeds.len()
+    }
+}
+
+/// Writes results as they come.
+pub struct Writer(File);
+
+impl Writer {
+    /// Begins a run at the end of a file.
+    pub fn begin(path: &Path, plan: &str, policy: &str, seeds: &[u64]) -> Result<Writer> {
+        let file = OpenOptions::new().create(true).append(true).open(path);
+        let mut writer = Writer(file.with_context(|| path.display().to_string())?);
+        let plan = Plan { v: VERSION, plan: plan.into(), policy: policy.into(), seeds: seeds.to_vec() };
+        writer.line(&plan)?;
+        Ok(writer)
+    }
+
+    /// Adds a line, whole or not at all as far as one write is.
+    pub fn line(&mut self, value: &impl Serialize) -> Result<()> {
+        let mut line = serde_json::to_vec(value)?;
+        line.push(b'\n');
+        self.0.write_all(&line).context("the results can't be written")
+    }
+}
+
+/// Reads the runs of a file.
+///
+/// # Errors
+///
+/// Names the line that is at fault, but for a last one that was cut off.
+pub fn read(path: &Path) -> Result<Vec<Run>> {
+    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    let mut runs: Vec<Run> = Vec::new();
+    for (n, line) in text.lines().enumerate() {
+        let at = || format!("{}: line {}", path.display(), n + 1);
+        let cut_off = n + 1 == text.lines().count() && !text.ends_with('\n');
+        if let Ok(plan) = serde_json::from_str::<Plan>(line) {
+            if plan.v != VERSION {
+                bail!("{}: v: {} is not a version that is read; right would be {VERSION}", at(), plan.v);
+            }
+            runs.push(Run { plan, days: Vec::new() });
+            continue;
+        }
+        let Some(run) = runs.last_mut() else {
+            bail!("{}: a day before any plan; right would be a file that `run --out` wrote", at());
+        };
+        match serde_json::from_str::<Played>(line) {
+            Ok(day) => run.days.push(day),
+            Err(_) if cut_off => {}
+            Err(error) => return Err(error).with_context(|| format!("{}: it is no day's result", at())),
+        }
+    }
+    Ok(runs)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const DAY: &str = r#"{"scenario":"s","policy":"module","seed":1,"worth":0.9,"probes":0,"connections":0.1,
+        "list_calls":1,"recovery_s":null,"worst_cold":0.2,"losses":{},"broken":{}}"#;
+
+    /// A run that was ended by hand left a file that nothing could read.
+    #[test]
+    fn an_interrupted_run_is_read_as_a_part_and_a_spoilt_line_is_named() {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("r.jsonl");
+        let mut writer = Writer::begin(&path, "a.toml", "module", &[1, 2, 3]).unwrap();
+        let day: serde_json::Value = serde_json::from_str(DAY).unwrap();
+        writer.line(&day).unwrap();
+        writer.line(&day).unwrap();
+        let runs = read(&path).unwrap();
+        assert!(runs[0].days.len() == 2 && runs[0].partial());
+        let whole = std::fs::read(&path).unwrap();
+        std::fs::write(&path, &whole[..whole.len() - 30]).unwrap();
+        let runs = read(&path).unwrap();
+        assert!(runs[0].days.len() == 1 && runs[0].partial());
+        std::fs::write(&path, [&whole[..], b"{\"seed\":3}\n"].concat()).unwrap();
+        let error = format!("{:#}", read(&path).unwrap_err());
+        assert!(error.contains("line 4") && error.contains("missing field"), "{error}");
+        std::fs::write(&path, b"{\"v\":9,\"plan\":\"a\",\"policy\":\"b\",\"seeds\":[]}\n").unwrap();
+        assert!(read(&path).unwrap_err().to_string().contains("line 1: v: 9 is not"));
+    }
+}
