--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -34,6 +34,8 @@
 /// How often a watch brings a sign of life, and within what time a word counts as told.
 const HEARTBEAT: Span = Span(2_000_000);
 const TOLD_WITHIN: Span = Span(6_000_000);
+/// What changes within this time is told in one line, as a release changes many servers at once.
+const TOGETHER: u64 = 20_000;
 /// How often a caller knocks where no instance is there.
 const KNOCK: u64 = 20_000;
 /// How long a connection that can't come up is waited for, where nobody says.
@@ -102,6 +104,8 @@
     WatchEnds(u32, WatchId, Cause),
     /// Open watches bring a sign of life.
     Beat,
+    /// What changed of late is told.
+    News,
     /// A second is over.
     Second,
     /// A caller's next instance serves.
@@ -217,6 +221,7 @@
     auditor: Auditor,
     out: Vec<Out>,
     lines: Vec<Line>,
+    news_due: bool,
     effects: Vec<Effect>,
     tally: Tally,
 }
@@ -370,6 +375,7 @@
             auditor: Auditor::default(),
             out: Vec::new(),
             lines: Vec::new(),
+            news_due: false,
             effects,
             tally: Tally::default(),
         };
@@ -839,6 +845,10 @@
                 self.news(true);
                 self.at(self.now + HEARTBEAT.0, Event::Beat);
             }
+            Event::News => {
+                self.news_due = false;
+                self.news(false);
+            }
             Event::Second => {
                 self.links.sweep(self.now);
                 let (opened, held) = (self.links.take_opened(), self.links.held() as u64);
@@ -951,7 +961,9 @@
     fn list(&mut self, node: usize, uid: u32, state: State, boot: u64) {
         let entry = entry(self.scenario, &self.places, node, uid, state, boot);
         self.service.change(node, self.places[node].starts, entry);
-        self.news(false);
+        if !std::mem::replace(&mut self.news_due, true) {
+            self.at(self.now + TOGETHER, Event::News);
+        }
     }
 
     fn news(&mut self, beat: bool) {
--- a/crates/lab/src/gate.rs
+++ b/crates/lab/src/gate.rs
@@ -30,6 +30,8 @@
 struct Band {
     /// The scenario's file, without its ending.
     scenario: String,
+    /// The part of the fleet that is played, where it is another.
+    scale: Option<f64>,
     /// The policies that it serves at least as well as, in the mean of the seeds.
     #[serde(default)]
     beats: Vec<String>,
@@ -81,6 +83,10 @@
             return wrong("seeds".into(), "none; there is at least one".into());
         }
         for (n, day) in bands.days.iter().enumerate() {
+            if day.scale.is_some_and(|scale| !(0.005..=1.0).contains(&scale)) {
+                let scale = day.scale.unwrap_or(0.0);
+                return wrong(format!("day[{n}].scale"), format!("{scale} is not from 0.005 to 1"));
+            }
             for name in &day.beats {
                 if let Err(error) = policy_of(name) {
                     return wrong(format!("day[{n}].beats"), error.to_string());
@@ -141,7 +147,8 @@
     let mut slots = Vec::new();
     for band in &bands.days {
         let file = File::read(&folder.join(format!("{}.toml", band.scenario)))?;
-        let scenario = |seed| -> Result<Scenario> { Ok(file.drawn(seed)?.scaled(bands.scale)) };
+        let scenario =
+            |seed| -> Result<Scenario> { Ok(file.drawn(seed)?.scaled(band.scale.unwrap_or(bands.scale))) };
         let mut policies = vec![policy];
         policies.extend(band.beats.iter().map(|name| policy_of(name)).collect::<Result<Vec<_>>>()?);
         let first = days.len();
