--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -1,5 +1,5 @@
 //! The connections that instances hold to nodes, as things that cost: one carries one request at a time, a new one
-//! takes round trips and work, a node holds only so many and closes those that stand idle. Pure; it owns every connection,
+//! takes a round trip and work, a node holds only so many and closes those that stand idle. Pure; it owns every connection,
 //! and a connection is given back by [`Links::free`] or [`Links::close`], once.
 
 use rustc_hash::FxHashMap;
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -93,7 +93,7 @@
     /// Connections that a node holds at most; any number where it is not told.
     #[serde(default)]
     pub connections: Option<usize>,
-    /// Work of a new connection at its node, beside two ways there and back.
+    /// Work of a new connection at its node, beside a way there and back.
     #[serde(default)]
     pub handshake: Option<Time>,
     /// After how long a node closes an idle connection; never where it is not told.
