Results are read by the type that wrote them; a run after a cut-off one keeps its plan

Report was written out twice more: as a reader's type and as an empty value to look names up by. One type now, and the gate's figures are one table.

--- a/crates/fleet/src/audit.rs
+++ b/crates/fleet/src/audit.rs
@@ -4,7 +4,8 @@
 use crate::scenario::GRACE;
 use dunlincleat::api::Effect;
 use rustc_hash::FxHashMap;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 
 /// The slack of each time limit, in microseconds.
@@ -14,10 +15,10 @@
 const HELD: (f64, u64) = (0.1, 20_000);
 
 /// A broken rule.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
     /// Which rule.
-    pub rule: &'static str,
+    pub rule: Cow<'static, str>,
     /// When, in microseconds since the start.
     pub at_us: u64,
     /// What was seen.
@@ -62,7 +63,7 @@
         *self.counts.entry(rule).or_default() += 1;
         // Enough to find the cause by.
         if self.faults.len() < 20 {
-            self.faults.push(Fault { rule, at_us, what });
+            self.faults.push(Fault { rule: rule.into(), at_us, what });
         }
     }
 
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -75,7 +75,7 @@
 }
 
 /// A day's result. Figures are simulated.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// The version of this format.
     pub v: u32,
@@ -131,10 +131,10 @@
     /// The first cases.
     pub cases: Vec<Broken>,
     /// Each second, where that was asked for.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub seconds: Vec<Second>,
     /// What went wrong when, with the seconds.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub marks: Vec<Mark>,
 }
 
--- a/crates/lab/src/gate.rs
+++ b/crates/lab/src/gate.rs
@@ -46,27 +46,27 @@
     most: Option<f64>,
 }
 
-/// A figure of a report by name; `None` where there is no such figure, the inner one where it was not seen.
-fn figure(report: &Report, memory_kb: Option<f64>, name: &str) -> Option<Option<f64>> {
-    Some(match name {
-        "worth" => Some(report.worth),
-        "in_time" => Some(report.in_time),
-        "recovery_s" => report.recovery_s,
-        "attempts" => Some(report.attempts),
-        "probes" => Some(report.probes),
-        "connections" => Some(report.connections),
-        "list_calls" => Some(report.list_calls),
-        "list_refused" => Some(report.list_refused),
-        "worst_cold" => Some(report.worst_cold),
-        "most_connections" => Some(report.most_connections as f64),
-        "held" => Some(report.held as f64),
-        "memory_kb" => memory_kb,
-        _ => return None,
-    })
-}
+/// A figure of a report and of the memory that was measured beside it; nothing where it was not seen.
+type Figure = fn(&Report, Option<f64>) -> Option<f64>;
+
+const FIGURES: [(&str, Figure); 12] = [
+    ("worth", |report, _| Some(report.worth)),
+    ("in_time", |report, _| Some(report.in_time)),
+    ("recovery_s", |report, _| report.recovery_s),
+    ("attempts", |report, _| Some(report.attempts)),
+    ("probes", |report, _| Some(report.probes)),
+    ("connections", |report, _| Some(report.connections)),
+    ("list_calls", |report, _| Some(report.list_calls)),
+    ("list_refused", |report, _| Some(report.list_refused)),
+    ("worst_cold", |report, _| Some(report.worst_cold)),
+    ("most_connections", |report, _| Some(report.most_connections as f64)),
+    ("held", |report, _| Some(report.held as f64)),
+    ("memory_kb", |_, memory_kb| memory_kb),
+];
 
-const FIGURES: &str = "worth, in_time, recovery_s, attempts, probes, connections, list_calls, list_refused, worst_cold, \
-                       most_connections, held, memory_kb";
+fn figure(name: &str) -> Option<Figure> {
+    FIGURES.iter().find(|(known, _)| *known == name).map(|(_, figure)| *figure)
+}
 
 impl Bands {
     fn read(path: &Path) -> Result<Bands> {
@@ -92,10 +92,11 @@
                     return wrong(format!("day[{n}].beats"), error.to_string());
                 }
             }
+            let known = FIGURES.map(|(name, _)| name).join(", ");
             for (name, bound) in &day.band {
                 let key = format!("day[{n}].band.{name}");
-                if figure(&empty(), Some(0.0), name).is_none() {
-                    return wrong(key, format!("no such figure; right would be one of {FIGURES}"));
+                if figure(name).is_none() {
+                    return wrong(key, format!("no such figure; right would be one of {known}"));
                 }
                 if bound.least.is_none() && bound.most.is_none() {
                     return wrong(key, "neither least nor most; there is one of them at the least".into());
@@ -106,39 +107,6 @@
     }
 }
 
-fn empty() -> Report {
-    Report {
-        v: 0,
-        scenario: String::new(),
-        policy: String::new(),
-        seed: 0,
-        wanted: 0,
-        worth: 0.0,
-        in_time: 0.0,
-        late: 0.0,
-        refused: 0.0,
-        failed: 0.0,
-        attempts: 0.0,
-        probes: 0.0,
-        connections: 0.0,
-        list_calls: 0.0,
-        list_refused: 0.0,
-        p50_ms: 0.0,
-        p99_ms: 0.0,
-        recovery_s: None,
-        worst_cold: 0.0,
-        most_connections: 0,
-        held: 0,
-        losses: BTreeMap::new(),
-        outcomes: BTreeMap::new(),
-        worth_by_second: Vec::new(),
-        broken: BTreeMap::new(),
-        cases: Vec::new(),
-        seconds: Vec::new(),
-        marks: Vec::new(),
-    }
-}
-
 /// Plays the gate of a folder. Gives what it shows, line by line, and what fails.
 pub fn gate(folder: &Path, policy: Policy) -> Result<(Vec<String>, Vec<String>)> {
     let path = folder.join("gate.toml");
@@ -176,7 +144,7 @@
         for report in own {
             let at = format!("{}, seed {}", band.scenario, report.seed);
             for (name, Bound { least, most }) in &band.band {
-                let value = figure(report, memory_kb, name).flatten();
+                let value = figure(name).and_then(|figure| figure(report, memory_kb));
                 let told = value.map_or("not seen".to_owned(), |value| format!("{value:.3}"));
                 if least.is_some_and(|least| value.is_none_or(|value| value < least)) {
                     fails.push(format!("{at}: {name} is {told}, least {}", least.unwrap_or(0.0)));
@@ -204,7 +172,7 @@
             }
         }
         let figures = band.band.keys().map(|name| {
-            let values = own.iter().map(|report| figure(report, memory_kb, name).flatten());
+            let values = own.iter().map(|report| figure(name).and_then(|figure| figure(report, memory_kb)));
             let values: Vec<String> = values.map(|v| v.map_or("-".into(), |v| format!("{v:.3}"))).collect();
             format!("{name} {}", values.join(" "))
         });
--- a/crates/lab/src/html.rs
+++ b/crates/lab/src/html.rs
@@ -1,8 +1,8 @@
 //! Results as one page that opens from disk: plots in it as SVG, nothing fetched.
 
-use crate::results::{Played, Run};
+use crate::results::Run;
 use anyhow::{Result, anyhow, bail};
-use dunlincleat_fleet::report::{Loss, Second};
+use dunlincleat_fleet::report::{Loss, Report, Second};
 use plotters::prelude::*;
 use std::fmt::Write;
 
@@ -94,7 +94,7 @@
 type Line<'a> = (&'a str, RGBColor, Vec<f64>);
 
 /// Lines over the seconds, with the faults marked behind them.
-fn lines(day: &Played, lines: &[Line]) -> Result<String> {
+fn lines(day: &Report, lines: &[Line]) -> Result<String> {
     let mut svg = String::new();
     {
         let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
@@ -136,12 +136,12 @@
     Ok(svg)
 }
 
-fn goodput(day: &Played) -> Result<String> {
+fn goodput(day: &Report) -> Result<String> {
     let served = day.seconds.iter().map(|s| s.served / s.wanted.max(1e-9)).collect();
     lines(day, &[("served", RGBColor(30, 110, 60), served)])
 }
 
-fn losses(day: &Played) -> Result<String> {
+fn losses(day: &Report) -> Result<String> {
     let of = |name: &str| -> Vec<f64> {
         let lost = |s: &Second| s.lost.get(name).copied().unwrap_or(0.0) / s.wanted.max(1e-9);
         day.seconds.iter().map(lost).collect()
@@ -151,7 +151,7 @@
     lines(day, &all)
 }
 
-fn costs(day: &Played) -> Result<String> {
+fn costs(day: &Report) -> Result<String> {
     let of = |figure: fn(&Second) -> u64| day.seconds.iter().map(|s| figure(s) as f64).collect();
     lines(
         day,
@@ -217,20 +217,15 @@
             })
             .collect();
         let mark = dunlincleat_fleet::report::Mark { name: "cut".into(), from_s: 3.0, to_s: 6.0 };
-        let day = Played {
+        let day = Report {
             scenario: "a <b>".into(),
             policy: "module".into(),
             seed: 4,
             worth: 0.8,
-            probes: 0.0,
-            connections: 0.1,
-            list_calls: 1.0,
-            recovery_s: Some(2.5),
-            worst_cold: 0.3,
-            losses: BTreeMap::new(),
             broken: BTreeMap::from([("drains".to_owned(), 2)]),
             seconds,
             marks: vec![mark],
+            ..Report::default()
         };
         let plan = Plan { v: 2, plan: "a.toml".into(), policy: "module".into(), seeds: vec![4, 5] };
         let page = page(&[Run { plan, days: vec![day] }]).unwrap();
--- a/crates/lab/src/results.rs
+++ b/crates/lab/src/results.rs
@@ -2,9 +2,8 @@
 //! that was cut off is read up to its last whole line, and is known to be a part.
 
 use anyhow::{Context, Result, bail};
-use dunlincleat_fleet::report::{Mark, Second};
+use dunlincleat_fleet::report::Report;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
 use std::io::Write;
 use std::path::Path;
@@ -25,46 +24,13 @@
     pub seeds: Vec<u64>,
 }
 
-/// A day, as far as a reader needs it.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Played {
-    /// The scenario's name.
-    pub scenario: String,
-    /// The policy.
-    pub policy: String,
-    /// The seed.
-    pub seed: u64,
-    /// The worth served.
-    pub worth: f64,
-    /// Probes for each request.
-    pub probes: f64,
-    /// Connections for each request.
-    pub connections: f64,
-    /// Calls for lists by each instance in a minute.
-    pub list_calls: f64,
-    /// From the end of the last cause to 95% of the goodput before.
-    pub recovery_s: Option<f64>,
-    /// The most that a cold node was sent, against what pushes it over.
-    pub worst_cold: f64,
-    /// The worth lost by cause.
-    pub losses: BTreeMap<String, f64>,
-    /// How often each rule was broken.
-    pub broken: BTreeMap<String, u64>,
-    /// Each second, where it was kept.
-    #[serde(default)]
-    pub seconds: Vec<Second>,
-    /// What went wrong when.
-    #[serde(default)]
-    pub marks: Vec<Mark>,
-}
-
 /// A run that was read.
 #[derive(Clone, Debug)]
 pub struct Run {
     /// What was asked for.
     pub plan: Plan,
     /// What is there.
-    pub days: Vec<Played>,
+    pub days: Vec<Report>,
 }
 
 impl Run {
@@ -80,8 +46,14 @@
 impl Writer {
     /// Begins a run at the end of a file.
     pub fn begin(path: &Path, plan: &str, policy: &str, seeds: &[u64]) -> Result<Writer> {
-        let file = OpenOptions::new().create(true).append(true).open(path);
-        let mut writer = Writer(file.with_context(|| path.display().to_string())?);
+        let at = || path.display().to_string();
+        let cut_off = std::fs::read(path).is_ok_and(|held| held.last().is_some_and(|last| *last != b'\n'));
+        let mut file = OpenOptions::new().create(true).append(true).open(path).with_context(at)?;
+        if cut_off {
+            // The plan would else be a part of the line that the run before did not finish.
+            file.write_all(b"\n").with_context(at)?;
+        }
+        let mut writer = Writer(file);
         let plan = Plan { v: VERSION, plan: plan.into(), policy: policy.into(), seeds: seeds.to_vec() };
         writer.line(&plan)?;
         Ok(writer)
@@ -99,13 +71,18 @@
 ///
 /// # Errors
 ///
-/// Names the line that is at fault, but for a last one that was cut off.
+/// Names the line that is at fault, but for the last one of a run, which may be cut off.
 pub fn read(path: &Path) -> Result<Vec<Run>> {
     let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
     let mut runs: Vec<Run> = Vec::new();
-    for (n, line) in text.lines().enumerate() {
+    let lines: Vec<&str> = text.lines().collect();
+    for (n, line) in lines.iter().enumerate() {
         let at = || format!("{}: line {}", path.display(), n + 1);
-        let cut_off = n + 1 == text.lines().count() && !text.ends_with('\n');
+        // The last line of a run that was ended by hand, at the end of the file or before the next run's plan.
+        let cut_off = match lines.get(n + 1) {
+            None => !text.ends_with('\n'),
+            Some(next) => serde_json::from_str::<Plan>(next).is_ok(),
+        };
         if let Ok(plan) = serde_json::from_str::<Plan>(line) {
             if plan.v != VERSION {
                 bail!("{}: v: {} is not a version that is read; right would be {VERSION}", at(), plan.v);
@@ -116,7 +93,7 @@
         let Some(run) = runs.last_mut() else {
             bail!("{}: a day before any plan; right would be a file that `run --out` wrote", at());
         };
-        match serde_json::from_str::<Played>(line) {
+        match serde_json::from_str::<Report>(line) {
             Ok(day) => run.days.push(day),
             Err(_) if cut_off => {}
             Err(error) => return Err(error).with_context(|| format!("{}: it is no day's result", at())),
@@ -129,16 +106,13 @@
 mod tests {
     use super::*;
 
-    const DAY: &str = r#"{"scenario":"s","policy":"module","seed":1,"worth":0.9,"probes":0,"connections":0.1,
-        "list_calls":1,"recovery_s":null,"worst_cold":0.2,"losses":{},"broken":{}}"#;
-
     /// A run that was ended by hand left a file that nothing could read.
     #[test]
     fn an_interrupted_run_is_read_as_a_part_and_a_spoilt_line_is_named() {
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("r.jsonl");
         let mut writer = Writer::begin(&path, "a.toml", "module", &[1, 2, 3]).unwrap();
-        let day: serde_json::Value = serde_json::from_str(DAY).unwrap();
+        let day = Report::default();
         writer.line(&day).unwrap();
         writer.line(&day).unwrap();
         let runs = read(&path).unwrap();
@@ -147,6 +121,11 @@
         std::fs::write(&path, &whole[..whole.len() - 30]).unwrap();
         let runs = read(&path).unwrap();
         assert!(runs[0].days.len() == 1 && runs[0].partial());
+        // The next run into the same file once began in the middle of that line, and neither could be read.
+        Writer::begin(&path, "b.toml", "module", &[4]).unwrap().line(&day).unwrap();
+        let runs = read(&path).unwrap();
+        assert!(runs[0].days.len() == 1 && runs[0].partial());
+        assert!(runs[1].plan.plan == "b.toml" && !runs[1].partial());
         std::fs::write(&path, [&whole[..], b"{\"seed\":3}\n"].concat()).unwrap();
         let error = format!("{:#}", read(&path).unwrap_err());
         assert!(error.contains("line 4") && error.contains("missing field"), "{error}");
