--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -302,7 +302,7 @@
         _ => 1.0,
     };
     let mut shares: Vec<f64> = (0..traffic.instances).map(|_| drawn(rng)).collect();
-    let hot = if traffic.hot > 0.0 { 1 } else { 0 };
+    let hot = usize::from(traffic.hot > 0.0);
     let rest: f64 = shares[hot..].iter().sum();
     shares[hot..].iter_mut().for_each(|share| *share *= (1.0 - traffic.hot) / rest);
     shares[..hot].fill(traffic.hot);
--- a/crates/lab/src/demo/load.rs
+++ b/crates/lab/src/demo/load.rs
@@ -77,8 +77,9 @@
             continue;
         };
         let (client, seen, now) = (client.clone(), seen.clone(), now.clone());
+        let one = One { id: format!("{number:016x}"), class, wait: rate.wait, due };
         out.push(actix_rt::spawn(async move {
-            one(&client, at, class, number, rate.wait, due, &seen, &now).await;
+            one.ask(&client, at, &seen, &now).await;
             drop(place);
         }));
         if out.len() > 2 * MOST {
@@ -90,53 +91,53 @@
     }
 }
 
-#[allow(clippy::too_many_arguments)]
-async fn one(
-    client: &awc::Client,
-    at: SocketAddr,
+/// A request that is due.
+struct One {
+    id: String,
     class: u32,
-    number: u64,
     wait: Duration,
     due: Duration,
-    seen: &Seen,
-    now: &RefCell<Second>,
-) {
-    let id = format!("{number:016x}");
-    // Six of ten are safe to repeat, two keyed, two unsafe.
-    let (path, unsafe_to_repeat) = match class {
-        0..6 => ("read", false),
-        6..8 => ("pay", false),
-        _ => ("book", true),
-    };
-    let uri = format!("http://{at}/{path}");
-    let request = if path == "read" { client.get(uri) } else { client.post(uri) };
-    let request = request
-        .insert_header(("x-request-id", id.clone()))
-        .insert_header(("x-timeout", format!("{:.3}", wait.as_secs_f64())));
-    let request =
-        if path == "pay" { request.insert_header(("idempotency-key", id.clone())) } else { request };
-    now.borrow_mut().asked += 1;
-    seen.audit.borrow_mut().asked(&id, unsafe_to_repeat, seen.now(), wait.as_micros() as u64);
-    let sent = if path == "read" { request.send().await } else { request.send_body("{}").await };
-    let answer = match sent {
-        Ok(mut response) => match (response.status().as_u16(), response.body().await) {
-            (_, Err(error)) => Answer::Broken(error.to_string()),
-            (200, Ok(body)) => Answer::Served(String::from_utf8_lossy(&body).into_owned()),
-            (429 | 503, Ok(_)) => Answer::Refused,
-            (_, Ok(_)) => Answer::Failed,
-        },
-        Err(error) => Answer::Broken(error.to_string()),
-    };
-    let took = seen.start.elapsed().saturating_sub(due);
-    let mut now = now.borrow_mut();
-    match &answer {
-        Answer::Served(_) => {
-            now.served += 1;
-            now.times.saturating_record(took.as_micros() as u64);
+}
+
+impl One {
+    async fn ask(self, client: &awc::Client, at: SocketAddr, seen: &Seen, now: &RefCell<Second>) {
+        let One { id, class, wait, due } = self;
+        // Six of ten are safe to repeat, two keyed, two unsafe.
+        let (path, unsafe_to_repeat) = match class {
+            0..6 => ("read", false),
+            6..8 => ("pay", false),
+            _ => ("book", true),
+        };
+        let uri = format!("http://{at}/{path}");
+        let request = if path == "read" { client.get(uri) } else { client.post(uri) };
+        let request = request
+            .insert_header(("x-request-id", id.clone()))
+            .insert_header(("x-timeout", format!("{:.3}", wait.as_secs_f64())));
+        let request =
+            if path == "pay" { request.insert_header(("idempotency-key", id.clone())) } else { request };
+        now.borrow_mut().asked += 1;
+        seen.audit.borrow_mut().asked(&id, unsafe_to_repeat, seen.now(), wait.as_micros() as u64);
+        let sent = if path == "read" { request.send().await } else { request.send_body("{}").await };
+        let answer = match sent {
+            Ok(mut response) => match (response.status().as_u16(), response.body().await) {
+                (_, Err(error)) => Answer::Broken(error.to_string()),
+                (200, Ok(body)) => Answer::Served(String::from_utf8_lossy(&body).into_owned()),
+                (429 | 503, Ok(_)) => Answer::Refused,
+                (_, Ok(_)) => Answer::Failed,
+            },
+            Err(error) => Answer::Broken(error.to_string()),
+        };
+        let took = seen.start.elapsed().saturating_sub(due);
+        let mut now = now.borrow_mut();
+        match &answer {
+            Answer::Served(_) => {
+                now.served += 1;
+                now.times.saturating_record(took.as_micros() as u64);
+            }
+            Answer::Refused => now.refused += 1,
+            Answer::Failed | Answer::Broken(_) => now.failed += 1,
         }
-        Answer::Refused => now.refused += 1,
-        Answer::Failed | Answer::Broken(_) => now.failed += 1,
+        drop(now);
+        seen.audit.borrow_mut().answered(&id, seen.now(), answer);
     }
-    drop(now);
-    seen.audit.borrow_mut().answered(&id, seen.now(), answer);
 }
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -10,8 +10,8 @@
 use audit::Audit;
 use clap::Args;
 use load::{Rate, Second};
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde_json::json;
 use stands::{List, Seen, Server};
 use std::cell::RefCell;
@@ -22,6 +22,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, BufReader, Lines};
 use tokio::process::{Child, ChildStderr, Command};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{interval, timeout};
 
 /// The grace of a drain.
@@ -73,7 +74,7 @@
     actix_rt::System::new().block_on(async move {
         tokio::select! {
             ended = play(&wanted, &program) => ended,
-            stopped = tokio::signal::ctrl_c() => {
+            stopped = told_to_end() => {
                 stopped.context("signals")?;
                 crate::say("stopped by hand");
                 Ok(ExitCode::from(130))
@@ -82,6 +83,28 @@
     })
 }
 
+/// The first of the signals that end a program: left to themselves all but one would leave the sidecar running.
+async fn told_to_end() -> std::io::Result<()> {
+    let mut end = [SignalKind::interrupt(), SignalKind::terminate(), SignalKind::hangup()].map(signal);
+    let [Ok(interrupt), Ok(terminate), Ok(hangup)] = &mut end else {
+        return Err(std::io::Error::other("they can't be waited for"));
+    };
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+        _ = hangup.recv() => {}
+    }
+    Ok(())
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy)]
+enum Trouble {
+    Stall,
+    Drain,
+    Gone,
+}
+
 /// The sidecar, as a child that ends when this is dropped.
 struct Sidecar {
     child: Child,
@@ -156,7 +179,7 @@
     let mut rng = SmallRng::seed_from_u64(wanted.seed);
     let mut servers = Vec::new();
     for name in ["north", "east", "south", "west"] {
-        servers.push(Server::start(name, seen.clone(), stands::seed(&mut rng)).await?);
+        servers.push(Server::start(name, seen.clone(), rng.random()).await?);
     }
     let list = List::start(&servers, seen.clone()).await?;
     let folder = tempfile::tempdir()?;
@@ -178,7 +201,7 @@
     // What goes wrong, by second: a stall for a fifth of the time, then a drain, then that server is gone.
     let (stall, drain) = (wanted.lasts * 3 / 10, wanted.lasts * 6 / 10);
     let gone = drain + 2;
-    let mut ahead = vec![(gone, "gone"), (drain, "drain"), (stall, "stall")];
+    let mut ahead = vec![(gone, Trouble::Gone), (drain, Trouble::Drain), (stall, Trouble::Stall)];
     loop {
         tokio::select! {
             biased;
@@ -198,16 +221,16 @@
         let mut notes = Vec::new();
         while let Some((_, what)) = ahead.pop_if(|(at, _)| *at <= elapsed) {
             match what {
-                "stall" => {
+                Trouble::Stall => {
                     let lasts = Duration::from_secs((wanted.lasts / 5).max(1));
                     servers[1].stall(lasts);
                     notes.push(format!("  <- east stands still for {} s", lasts.as_secs()));
                 }
-                "drain" => {
+                Trouble::Drain => {
                     list.tell(&servers[2], "draining");
                     notes.push("  <- south is drained".to_owned());
                 }
-                _ => {
+                Trouble::Gone => {
                     list.tell(&servers[2], "removed");
                     notes.push("  <- south is gone from the list".to_owned());
                 }
--- a/crates/lab/src/demo/stands.rs
+++ b/crates/lab/src/demo/stands.rs
@@ -8,8 +8,8 @@
 use anyhow::{Result, anyhow};
 use bytes::Bytes;
 use futures_util::stream;
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
@@ -248,8 +248,3 @@
     });
     Response::with_body(StatusCode::OK, BoxBody::new(BodyStream::new(Box::pin(stream))))
 }
-
-/// A seed for a stand-in.
-pub fn seed(rng: &mut SmallRng) -> u64 {
-    rng.random()
-}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -44,7 +44,7 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
         /// How many seeds
-        #[arg(long, default_value_t = 1)]
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..))]
         seeds: u64,
         /// module, a baseline (random, round-robin, least-in-hand, two-choices, peak-delay) or without-PART
         #[arg(long, default_value = "module")]
@@ -79,7 +79,7 @@
         /// The folder
         folder: PathBuf,
         /// How many seeds
-        #[arg(long, default_value_t = 3)]
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..))]
         seeds: u64,
         /// Play a part of the fleet
         #[arg(long, default_value_t = 1.0)]
