Leases by a majority of configured voters, without I/O, explored and played in simulated time

Change: crates/duties, a member as a machine (now, input) -> outputs: voters that are silent after a loss of memory and learn from the others, leases counted from before asking and from after hearing, fences above all that was promised, effects once a period with the number written to a majority before, handing on, and the permission as a value with a deadline.

Failed on the way: a holder without a period yet planned to wake at 0 and then took itself for late; the outcome of an effect of an earlier grant would have cleared the mark of a later one's (now keyed by fence and period); a duty handed on was asked for before the word of its release had come and then waited for a lease (asked again at once, eight times). Not shown: a disk; a voters' change while it runs; members by gossip; more than 7 voters and 10 members.

--- /dev/null
+++ b/crates/duties/tests/days.rs
@@ -0,0 +1,110 @@
+//! Days of faults in simulated time, clocks off by the bound included.
+
+mod common;
+
+use common::*;
+use dunlincleat_duties::machine::Plant;
+use dunlincleat_duties::{Fence, Input};
+
+/// Safety on every seed; and once the faults are over the duty is held again within a bound and its periods go on.
+#[test]
+fn one_holder_rising_fences_and_each_period_once_whatever_the_seed() {
+    for seed in 0..400 {
+        let voters = [3, 5, 3, 7][seed as usize % 4];
+        let mut world = day(seed, voters + seed as usize % 3, voters, Plant::None);
+        // A lease that is out, the longest pause, and the time of some rounds through the loss.
+        let quiet = world.now + 12 * LEASE;
+        world.run(quiet);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        let before = world.ran.len();
+        world.run(quiet + 8 * LEASE);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        assert!(world.ran.len() > before, "seed {seed}: no period ran in eight leases of quiet");
+    }
+}
+
+/// A machine that passes these days proves nothing if each fault passes them too.
+#[test]
+fn each_planted_fault_is_found_by_its_property() {
+    for (plant, property) in [
+        (Plant::LeaseFromAnswer, "one holder"),
+        (Plant::VotesAtOnce, "one holder"),
+        (Plant::MajorityOfTheLiving, "one holder"),
+        (Plant::PeriodAgain, "once a period"),
+        (Plant::FenceAnew, "fences rise"),
+    ] {
+        let found = (0..4000).find(|&seed: &u64| {
+            let mut world = day(seed, 3 + seed as usize % 3, 3, plant);
+            let quiet = world.now + 4 * LEASE;
+            world.run(quiet);
+            world.broken.iter().any(|b| b.starts_with(property))
+        });
+        assert!(found.is_some(), "{plant:?} was not found");
+        println!("{plant:?} is found by '{property}' with seed {}", found.unwrap_or_default());
+    }
+}
+
+/// A holder that lets go without stopping overlaps with the next.
+#[test]
+fn letting_go_without_stopping_is_found() {
+    for (plant, broken) in [(Plant::None, false), (Plant::ReleaseWithoutStopping, true)] {
+        let mut world = World::new(1, 3, 3, 1, Net::default(), plant);
+        world.run(world.now + 2 * LEASE);
+        let holder = world.held("d0").unwrap();
+        let to = Some(format!("n{}", (holder + 1) % 3));
+        world.tell(holder, Input::Hand { duty: "d0".into(), to });
+        world.run(world.now + LEASE / 4);
+        assert_eq!(!world.broken.is_empty(), broken, "{:?}", world.broken);
+    }
+}
+
+/// A duty handed on was free for as long as a lease.
+#[test]
+fn a_planned_end_hands_on_within_some_round_trips() {
+    for seed in 0..50 {
+        let mut world = World::new(seed, 5, 3, 1, Net::default(), Plant::None);
+        world.run(world.now + 2 * LEASE);
+        let holder = world.held("d0").unwrap();
+        world.tell(holder, Input::End);
+        assert_eq!(world.held("d0"), None);
+        world.run(world.now + 20_000);
+        assert!(world.held("d0").is_some_and(|next| next != holder), "seed {seed}");
+    }
+}
+
+/// All voters lost what they promised: they speak again, one holder at a time, and the receiver's fence is the only memory.
+#[test]
+fn after_a_total_loss_the_receiver_teaches_the_fence() {
+    for seed in 0..50 {
+        let mut world = World::new(seed, 3, 3, 1, Net::default(), Plant::None);
+        for _ in 0..8 {
+            world.run(world.now + 3 * LEASE);
+            let holder = world.held("d0").unwrap_or(0);
+            world.tell(holder, Input::Hand { duty: "d0".into(), to: None });
+        }
+        let highest = world.granted["d0"];
+        assert!(highest > Fence(6), "{highest:?}");
+        (0..3).for_each(|n| world.kill(n));
+        (0..3).for_each(|n| world.start(n));
+        // Periods begin at 1 again where no receiver tells them: what ran before is not counted here.
+        world.ran.clear();
+        world.run(world.now + 20 * LEASE);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        assert!(world.fenced > 0 && world.granted["d0"] > highest, "seed {seed}");
+    }
+}
+
+/// 300 duties whose holder dies: what the others send until all are held again is bounded.
+#[test]
+fn many_duties_of_one_holder_are_taken_over_with_bounded_messages() {
+    let mut world = World::new(1, 5, 3, 300, Net::default(), Plant::None);
+    world.run(world.now + 2 * LEASE);
+    world.kill(4);
+    world.kill(0);
+    let before = world.messages;
+    world.run(world.now + 4 * LEASE);
+    assert!((0..300).all(|n| world.held(&format!("d{n}")).is_some()));
+    let each = (world.messages - before) as f64 / 300.0 / 4.0;
+    assert!(each < 400.0, "{each:.0} messages a duty and lease");
+    println!("{each:.0} messages a duty and lease");
+}
