Auditor: an instance that serves again is judged again; a voter keeps nothing of strangers

Cause: a kill and the end that follows it opened a window of excuse each, and the next start closed only the last (audit.rs, close), so an instance once killed was excused for the rest of its play. Every window is closed now; the new test fails without it. Also: a voter made an entry for any name that told it something, without a bound (voter.rs, learn).

--- a/crates/duties/src/voter.rs
+++ b/crates/duties/src/voter.rs
@@ -212,9 +212,12 @@
         known: &[(String, Fence, Mark)],
         end: Told,
     ) {
-        let voter = self.terms.voters.iter().any(|name| name == from);
+        // Only of voters is anything kept: other names would have no bound.
+        if self.memory == Memory::Whole || !self.terms.voters.iter().any(|name| name == from) {
+            return;
+        }
         let told = self.told.entry(from.to_owned()).or_default();
-        if self.memory == Memory::Whole || told != after || !voter {
+        if told != after {
             return;
         }
         for (name, fence, mark) in known.iter().take(TOLD) {
--- a/crates/trial/src/audit.rs
+++ b/crates/trial/src/audit.rs
@@ -108,9 +108,8 @@
     fn read(history: &'a [Event]) -> World<'a> {
         let mut world = World::default();
         fn close<'a>(windows: &mut BTreeMap<&'a str, Windows>, who: &'a str, at: u64) {
-            if let Some(last) = windows.entry(who).or_default().last_mut() {
-                last.1 = last.1.min(at);
-            }
+            // A kill and the end that follows it open one each: one left open would excuse the instance for good.
+            windows.entry(who).or_default().iter_mut().for_each(|window| window.1 = window.1.min(at));
         }
         fn open<'a>(windows: &mut BTreeMap<&'a str, Windows>, who: &'a str, at: u64) {
             windows.entry(who).or_default().push((at, u64::MAX));
@@ -344,6 +343,21 @@
         Event { at, what: What::Told { to: "n0".into(), server: "b".into() } }
     }
 
+    /// An instance that was once killed was excused for the rest of the play: its kill's own window was never closed.
+    #[test]
+    fn an_instance_that_serves_again_is_judged_again() {
+        let down = What::Down { who: "n0".into(), how: "ended".into(), told: true };
+        let history = [
+            up(1),
+            did(10, Fault::Kill { who: "n0".into() }),
+            Event { at: 11, what: down },
+            up(20),
+            asked(100, "7", false),
+            answered(105, "7", Answer::Broken("reset".into())),
+        ];
+        assert!(matches!(judge(&history, BOUNDS), Verdict::Broken(found) if found.len() == 1));
+    }
+
     /// An auditor that lets a fault pass proves nothing: each is planted once, and a day without one is clean.
     #[test]
     fn each_planted_fault_is_found_and_nothing_else() {
