--- a/crates/trial/src/load.rs
+++ b/crates/trial/src/load.rs
@@ -2,6 +2,7 @@
 //! it was due, so that a sidecar that stands still is seen to (coordinated omission).
 
 use crate::history::{Answer, Event, What};
+use awc::error::{ConnectError, SendRequestError};
 use hdrhistogram::Histogram;
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -132,16 +133,26 @@
             _ => ("book", true),
         };
         let uri = format!("http://{at}/{path}");
-        let request = if path == "read" { client.get(uri) } else { client.post(uri) };
-        let request = request
-            .insert_header(("x-request-id", id.clone()))
-            .insert_header(("x-timeout", format!("{:.3}", wait.as_secs_f64())));
-        let request =
-            if path == "pay" { request.insert_header(("idempotency-key", id.clone())) } else { request };
+        let send = || {
+            let request = if path == "read" { client.get(&uri) } else { client.post(&uri) };
+            let request = request
+                .insert_header(("x-request-id", id.clone()))
+                .insert_header(("x-timeout", format!("{:.3}", wait.as_secs_f64())));
+            match path {
+                "read" => request.send(),
+                "pay" => request.insert_header(("idempotency-key", id.clone())).send_body("{}"),
+                _ => request.send_body("{}"),
+            }
+        };
         application.now.borrow_mut().asked += 1;
         let by = application.name.clone();
         application.saw(What::Asked { by, id: id.clone(), once, wait: wait.as_micros() as u64 });
-        let sent = if path == "read" { request.send().await } else { request.send_body("{}").await };
+        let mut sent = send().await;
+        // The sidecar may close a connection between requests. One that crosses that, of which nothing was sent, is sent once more
+        // on a new connection, as the protocol has it.
+        if matches!(sent, Err(SendRequestError::Connect(ConnectError::Disconnected))) {
+            sent = send().await;
+        }
         let answer = match sent {
             Ok(mut response) => match (response.status().as_u16(), response.body().await) {
                 (_, Err(error)) => Answer::Broken(error.to_string()),
