--- a/crates/duties/src/voter.rs
+++ b/crates/duties/src/voter.rs
@@ -58,8 +58,6 @@
     bereft: bool,
     /// How far each other voter has told what it knows.
     told: BTreeMap<String, String>,
-    #[cfg(feature = "plant")]
-    plant: crate::machine::Plant,
 }
 
 impl Voter {
@@ -76,8 +74,6 @@
             lost: BTreeSet::new(),
             bereft: false,
             told: BTreeMap::new(),
-            #[cfg(feature = "plant")]
-            plant: crate::machine::Plant::None,
         }
     }
 
@@ -89,7 +85,6 @@
 
     #[cfg(feature = "plant")]
     pub(crate) fn plant(&mut self, plant: crate::machine::Plant) {
-        self.plant = plant;
         if plant == crate::machine::Plant::VotesAtOnce {
             self.memory = Memory::Whole;
         }
