Discovery that was away is asked within two thirds of a grace, however long it was silent

Ruled out: the module (no send after the list arrived), the silent watch (told of at 2.1 s), a slow agent (answers the same moment).

Cause: Follower::open and Follower::ended waited a heartbeat, 2 s, between tries once nothing was heard for longer than the bound. Beside it: a call that ended unanswered put off the next try, which was due before.

Change: Figures::tries, the lesser of watch_call_ms and two thirds of the grace; lists on request keep their times.

--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -22,9 +22,10 @@
 pub struct Figures {
     /// A watch from which nothing came for this long may be dead.
     pub late: Span,
-    /// What a call may take until its answer begins where lists are pushed, and the time between two tries while nothing
-    /// speaks.
+    /// What a call may take until its answer begins where lists are pushed.
     pub call: Span,
+    /// The longest time between two tries while nothing speaks, where lists are pushed.
+    pub tries: Span,
     /// Until when after its time a word counts as told, heard or not, and its grace over.
     pub bound: Span,
     /// The first and the longest wait after a call failed.
@@ -36,14 +37,16 @@
 impl Figures {
     /// Derives the times from the heartbeat of a watch, the time after which a word counts as told whether or not
     /// it arrived, and the grace of a drain. A heartbeat may be late by a quarter of the grace; of what is then
-    /// left until a drain that nobody heard of could break its bound, eight tries get an equal part each.
+    /// left until a drain that nobody heard of could break its bound, eight tries get an equal part each, or two
+    /// thirds of the grace where that is less: what is told when discovery is back counts at once, however long it was away.
     #[must_use]
     pub fn derive(heartbeat: Span, told_within: Span, grace: Span) -> Figures {
         let late = heartbeat + if grace.0 > 0 { grace.times(0.25) } else { heartbeat.times(0.125) };
         let bound = told_within + grace;
         let left = Span(bound.0.saturating_sub(late.0)).max(heartbeat);
         let call = Span((left.0 / TRIES).max(1000));
-        Figures { late, call, bound, again: (Span(50_000), heartbeat), renew: Span(0) }
+        let tries = if grace.0 > 0 { call.min(grace.times(2.0 / 3.0)).max(Span(1000)) } else { call };
+        Figures { late, call, tries, bound, again: (Span(50_000), heartbeat), renew: Span(0) }
     }
 }
 
@@ -370,6 +373,16 @@
         }
     }
 
+    /// The longest time to the next try while nothing speaks. Past the bound a pushed list is asked for as often as before:
+    /// with 2 s between two tries, what was told at the return of discovery was heard long after its grace.
+    fn longest_wait(&self, now: Time) -> Span {
+        match self.mode {
+            Discovery::Pushed => self.figures.tries,
+            Discovery::OnRequest if self.age(now) > self.figures.bound => self.figures.again.1,
+            Discovery::OnRequest => self.figures.call,
+        }
+    }
+
     fn watch(&self, id: WatchId) -> Option<&Watch> {
         self.watches.iter().find(|w| w.id == id)
     }
@@ -397,10 +410,7 @@
         let (id, at) = (WatchId(self.next_id), self.at);
         self.next_id += 1;
         self.health.opened += 1;
-        // Past the bound nothing is left to save by hurrying.
-        let unheard = self.age(now);
-        self.next_call =
-            now + if unheard > self.figures.bound { self.figures.again.1 } else { self.figures.call };
+        self.next_call = now + self.longest_wait(now);
         self.wanted = false;
         let (opened, heard, suspected) = (false, None, false);
         let rev = self.book.rev();
@@ -452,10 +462,11 @@
         }
         self.failures = self.failures.saturating_add(1);
         let (first, most) = self.figures.again;
-        // Until the bound is past, tries come at least as often as it was derived for.
-        let most = if self.age(now) > self.figures.bound { most } else { most.min(self.figures.call) };
+        let most = most.min(self.longest_wait(now));
         let wait = Span(first.0.saturating_mul(1 << (self.failures - 1).min(16))).min(most);
-        self.next_call = now + wait.times(self.rng.random_range(0.5..1.0));
+        let again = now + wait.times(self.rng.random_range(0.5..1.0));
+        // A try that is due before is not put off by one that ended without an answer.
+        self.next_call = if self.next_call >= now { self.next_call.min(again) } else { again };
         self.failed(watch.at, cause, out);
     }
 
--- a/crates/directory/tests/schedules.rs
+++ b/crates/directory/tests/schedules.rs
@@ -524,3 +524,27 @@
     follower.wake(Time(START) + figures.bound, &mut out);
     assert!(out.contains(&Output::Close(WatchId(0))) && out.contains(&Output::Failed), "{out:?}");
 }
+
+/// Guards a drain told just as discovery is back: what it tells then counts at once, however long it was away. A call that
+/// was out when it came back is answered or not, so a new one has to go out in time, with any grace.
+#[test]
+fn however_long_discovery_was_away_it_is_asked_well_within_a_grace_of_its_return() {
+    for grace in [200, 400, 500, 1000, 3000].map(|ms| ms * MS) {
+        let figures = Figures::derive(Span(HEARTBEAT), Span(TOLD_WITHIN), Span(grace));
+        let at = "127.0.0.1:1".parse().unwrap();
+        let (mode, known) = (Discovery::Pushed, Listing::default());
+        let (mut follower, _) = Follower::new(Time(START), figures, mode, at, grace, known);
+        let (mut out, mut now, mut asked, mut longest) = (Vec::new(), START, START, 0);
+        follower.wake(Time(now), &mut out);
+        while now < START + 60_000 * MS {
+            for output in std::mem::take(&mut out) {
+                if let Output::Open { .. } = output {
+                    (asked, longest) = (now, longest.max(now - asked));
+                }
+            }
+            now = follower.due().expect("it waits for ever").0.max(now);
+            follower.wake(Time(now), &mut out);
+        }
+        assert!(longest <= grace * 2 / 3, "{longest} us between two calls, on a grace of {grace} us");
+    }
+}
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -291,9 +291,11 @@
             let heartbeat = ms(number("watch_heartbeat_ms", 2000, 1)?);
             let told = ms(number("watch_told_within_ms", 6000, 1)?);
             let derived = Figures::derive(heartbeat, told, site.drain_grace.unwrap_or_default());
+            let call = ms(number("watch_call_ms", derived.call.0 / 1000, 1)?);
             Figures {
                 late: ms(number("watch_silence_ms", derived.late.0 / 1000, 1)?),
-                call: ms(number("watch_call_ms", derived.call.0 / 1000, 1)?),
+                call,
+                tries: derived.tries.min(call),
                 again: (
                     ms(number("watch_again_ms", derived.again.0.0 / 1000, 1)?),
                     ms(number("watch_again_most_ms", derived.again.1.0 / 1000, 1)?),
