Nothing of a request begins once its client has left; what is behind or late at the door ends none

An attempt that waited for its connection was sent when that came up, long after its client had gone, with cancel and without. Engine::take told the module of Gone alone; both calls of Output::Cancel hang on `cancel`, and neither is made at Gone. Now each attempt that has not ended is withdrawn, a word of its own: what is not written whole is taken back, the rest goes on. The copy that lost is, too, where nothing may be called off. A reused connection's figures begin with the attempt, not with its first poll: one withdrawn before that counted as written. ClientIo stopped reading at SURPLUS while a request was in hand: a client that sent more and went was never seen to. Bytes behind a request in hand that can't be read set actix-http's READ_DISCONNECT, which with h1_allow_half_closed(false) ends the connection and the request in it: taken, and lost. A head or body closed as too slow, or to make room, went without an answer or was reset if its last byte crossed that. It is answered 503 and read on for 0.2 s.

The test of clients that send no whole request asked for 400 or nothing; it now asks for exactly the 503, and nothing for those that sent nothing. The engine's auditor asks that each attempt out is withdrawn when its client leaves.

--- a/crates/engine/src/core.rs
+++ b/crates/engine/src/core.rs
@@ -180,6 +180,16 @@
         /// Where it is.
         server: ServerId,
     },
+    /// Nobody waits for an attempt any more: what is not written whole of it is taken back, the rest goes on. It ends
+    /// all the same.
+    Withdraw {
+        /// Of which request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: Attempt,
+        /// Where it is.
+        server: ServerId,
+    },
     /// Ask a server how it is.
     Probe {
         /// Which.
@@ -429,6 +439,8 @@
             Input::Gone(id) => {
                 if let Some(slot) = self.close(id) {
                     self.tally.gone += 1;
+                    // An attempt that still waited for its connection was sent on long after its client had left.
+                    self.out_of(id, out, |id, attempt, server| Output::Withdraw { id, attempt, server });
                     self.event(now, slot, Event::Gone { id }, out);
                 }
                 self.forget(id);
@@ -680,12 +692,24 @@
         }
         out.push(Output::Answer { id, answer });
         // The copy that lost has nobody to answer to.
-        let entry = self.requests.get(&id).filter(|_| self.cancel);
-        for (n, server) in
-            entry.iter().flat_map(|e| e.attempts.iter().enumerate().filter(|(n, _)| !e.ended[*n]))
-        {
-            out.push(Output::Cancel { id, attempt: Attempt(n as u32), server: *server });
-        }
+        let cancel = self.cancel;
+        self.out_of(id, out, |id, attempt, server| match cancel {
+            true => Output::Cancel { id, attempt, server },
+            false => Output::Withdraw { id, attempt, server },
+        });
+    }
+
+    /// Says this of each attempt of a request that has not ended.
+    fn out_of(
+        &self,
+        id: RequestId,
+        out: &mut Vec<Output<P, B>>,
+        say: impl Fn(RequestId, Attempt, ServerId) -> Output<P, B>,
+    ) {
+        let Some(entry) = self.requests.get(&id) else { return };
+        let attempts = entry.attempts.iter().zip(&entry.ended).enumerate();
+        let still = attempts.filter(|(_, (_, ended))| !**ended);
+        out.extend(still.map(|(n, (server, _))| say(id, Attempt(n as u32), *server)));
     }
 
     /// Nothing is owed to a request any more: its place with its route is given back here and nowhere else. Gives
--- a/crates/engine/src/shell.rs
+++ b/crates/engine/src/shell.rs
@@ -45,6 +45,8 @@
     );
     /// Stops waiting for an attempt.
     fn cancel(&mut self, id: RequestId, attempt: Attempt, server: ServerId);
+    /// Takes an attempt back as far as it is not written whole; one that is goes on.
+    fn withdraw(&mut self, id: RequestId, attempt: Attempt, server: ServerId);
     /// Asks a server how it is; `asked` is handed back with the end.
     fn probe(&mut self, server: ServerId, asked: SlotId);
     /// Connections that may still be opened, for the log.
@@ -307,6 +309,7 @@
                     self.transports.attempt(id, attempt, server, payload, until, connect);
                 }
                 Output::Cancel { id, attempt, server } => self.transports.cancel(id, attempt, server),
+                Output::Withdraw { id, attempt, server } => self.transports.withdraw(id, attempt, server),
                 Output::Probe { server, asked } => self.transports.probe(server, asked),
                 Output::Open { server, at, boot_ms } => self.transports.open(server, at, boot_ms),
                 Output::Listed { server, at, state } => self.transports.listed(server, at, state),
--- a/crates/engine/tests/rules.rs
+++ b/crates/engine/tests/rules.rs
@@ -74,6 +74,8 @@
     listed: BTreeMap<String, (State, u64)>,
     open: BTreeMap<ServerId, bool>,
     leaves: BTreeSet<ServerId>,
+    /// Attempts that the engine took back.
+    withdrawn: BTreeSet<(u64, u32)>,
     faults: Vec<String>,
     copies: usize,
     /// The engine is not told of the limits that the auditor holds it to.
@@ -100,6 +102,7 @@
             listed: BTreeMap::new(),
             open: BTreeMap::new(),
             leaves: BTreeSet::new(),
+            withdrawn: BTreeSet::new(),
             faults: Vec::new(),
             copies: 0,
             planted: false,
@@ -117,6 +120,17 @@
         self.carry_out(out);
     }
 
+    /// A client leaves: what of its request is still out is taken back, so that nothing of it begins any more.
+    fn leaves(&mut self, id: u64) {
+        let still: Vec<u32> = self.out.iter().filter(|o| o.request == id).map(|o| o.attempt.0).collect();
+        self.tell(Input::Gone(RequestId(id)));
+        for attempt in still {
+            if !self.withdrawn.contains(&(id, attempt)) {
+                self.fault(format!("request {id}: attempt {attempt} goes on without its client"));
+            }
+        }
+    }
+
     fn wake(&mut self) {
         let mut out = Vec::new();
         self.engine.wake(Time(self.now), &mut out);
@@ -135,6 +149,15 @@
                     let out = self.out.iter_mut().find(|o| (o.request, o.attempt) == (id.0, attempt));
                     out.into_iter().for_each(|o| (o.ends, o.status) = (self.now, Status::Cancelled));
                 }
+                // Half of them had not been written whole yet.
+                Output::Withdraw { id, attempt, .. } => {
+                    let unwritten = self.rng.random_bool(0.5);
+                    let out = self.out.iter_mut().find(|o| (o.request, o.attempt) == (id.0, attempt));
+                    if let Some(out) = out.filter(|_| unwritten) {
+                        (out.ends, out.status) = (self.now, Status::Moot);
+                    }
+                    self.withdrawn.insert((id.0, attempt.0));
+                }
                 Output::Probe { server, asked } => {
                     let ends = self.now + self.rng.random_range(1..30) * MS;
                     self.probes.push((ends, server, asked));
@@ -299,7 +322,7 @@
                 self.now = at.max(self.now);
                 self.seen.get_mut(&id).unwrap().gone = true;
                 self.fault(format!("request {id} had no answer in time"));
-                self.tell(Input::Gone(RequestId(id)));
+                self.leaves(id);
                 continue;
             }
             if next > end {
@@ -359,7 +382,7 @@
                 let open = self.seen.iter().filter(|(_, s)| s.answers == 0 && !s.gone).map(|(id, _)| *id);
                 if let Some(id) = open.max() {
                     self.seen.get_mut(&id).unwrap().gone = true;
-                    self.tell(Input::Gone(RequestId(id)));
+                    self.leaves(id);
                 }
             }
             _ => self.ask(),
--- a/crates/fleet/src/world/instances.rs
+++ b/crates/fleet/src/world/instances.rs
@@ -79,6 +79,8 @@
                     }
                 }
                 Output::Watch => watch = true,
+                // Connections come up at once here: what goes out is written.
+                Output::Withdraw { .. } => {}
                 Output::Open { .. } | Output::Listed { .. } | Output::Say { .. } => {}
             }
         }
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -11,7 +11,7 @@
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory, fn_service};
 use anyhow::{Context as _, Result, anyhow};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dunlincleat::api::RequestId;
 use dunlincleat_limits::RuleSet;
 use dunlincleat_settings::Site;
@@ -24,9 +24,10 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::fmt::{self, Display, Formatter};
+use std::future::poll_fn;
 use std::io;
-use std::net::SocketAddr;
-use std::pin::{Pin, pin};
+use std::net::{Shutdown, SocketAddr};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
@@ -43,8 +44,14 @@
 /// At the bound, the age from which an idle connection, or one without a whole request, makes room for a new one.
 const SPARE_IDLE: Duration = Duration::from_secs(2);
 const SPARE_SILENT: Duration = Duration::from_millis(200);
-/// What is read of a client that sends on while its request is in hand or after it was turned away.
+/// What is held of a client that sends on while its request is in hand, and read of one that was turned away.
 const SURPLUS: usize = 64 * 1024;
+/// What is read between two sweeps, and dropped, of a client that sends on beyond that: its end comes behind it.
+const DROPPED: usize = 256 * 1024;
+/// How long a client that was too slow may take to read that, and what it still sends is read.
+const FAREWELL: Duration = Duration::from_millis(200);
+/// What one is told whose request had not come whole in its time: nothing of it was sent on.
+const TOO_SLOW: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 /// Bytes a second that a client sends of a body at the least: half of what honest slow ones manage.
 const PACE: f64 = 32.0 * 1024.0;
 /// How long a client may stand still in the middle of a body that goes on to a server.
@@ -145,10 +152,11 @@
         .keep_alive(KeepAlive::Os)
         .client_request_timeout(Duration::ZERO)
         .client_disconnect_timeout(DRAIN)
-        // A client that closes has gone: its request's handler is dropped.
-        .h1_allow_half_closed(false)
+        // A client that closes has gone; `ClientState::over` sees that. Where actix-http did, bytes behind a request that
+        // can't be read ended its connection too, and with it the request.
+        .h1_allow_half_closed(true)
         .on_connect_ext(|io: &ClientIo, data| {
-            data.insert(io.seat.state.clone());
+            data.insert(io.state.clone());
         })
         .h1(fn_service(move |request| handle(handler.clone(), request)))
         .new_service(())
@@ -196,8 +204,10 @@
         tracing::debug!("connection not set up: {error}");
     }
     let (state, mut stage) = (seat.state.clone(), front.stage.clone());
-    let mut connection = pin!(service.call((ClientIo { stream, seat, stage: stage.clone() }, None)));
-    loop {
+    let stream = Rc::new(stream);
+    let io = ClientIo { stream: stream.clone(), state: state.clone(), stage: stage.clone() };
+    let mut connection = Box::pin(service.call((io, None)));
+    let over = loop {
         tokio::select! {
             biased;
             end = &mut connection => {
@@ -211,12 +221,44 @@
                 }
                 return;
             }
+            over = poll_fn(|cx| state.over(&stream, cx)) => break over,
             // Either polls the connection once more, which then sees that it is to close or may read on.
             () = state.wake.notified() => {}
-            changed = stage.changed() => if changed.is_err() {
-                let _ = (&mut connection).await;
-                return;
-            },
+            _ = stage.changed() => {}
+        }
+    };
+    // With it goes the handler of its request, which tells the engine.
+    drop(connection);
+    match over {
+        Over::Left => {}
+        Over::TooSlow => {
+            seldom!(front.malformed, info, "request not taken: it did not come whole in its time");
+            let _ = timeout(FAREWELL, farewell(&stream)).await;
+        }
+    }
+}
+
+/// Why a connection is ended from here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Over {
+    /// The client has gone, or does not read what it was answered.
+    Left,
+    /// Its request had not come whole in its time.
+    TooSlow,
+}
+
+/// Answers a client that was too slow, and reads on until it has closed: its last byte may have come meanwhile, and a
+/// connection that is closed with something unread on it is reset, with the answer.
+async fn farewell(stream: &TcpStream) -> io::Result<()> {
+    stream.try_write(TOO_SLOW)?;
+    socket2::SockRef::from(stream).shutdown(Shutdown::Write)?;
+    let mut unread = [0; 4096];
+    loop {
+        stream.readable().await?;
+        match stream.try_read(&mut unread) {
+            Ok(0) => return Ok(()),
+            Err(error) if error.kind() != io::ErrorKind::WouldBlock => return Err(error),
+            Ok(_) | Err(_) => {}
         }
     }
 }
@@ -230,6 +272,7 @@
             if state.due(&clients.own, stage).is_some_and(|due| due <= now) {
                 state.close();
             }
+            state.swept(now);
         }
         if connections.available_permits() == 0 {
             clients.make_room(now);
@@ -470,10 +513,20 @@
     phase: Cell<Phase>,
     /// Since when it counts against the time that the phase has.
     since: Cell<Instant>,
-    /// It ends as soon as nothing more can be read.
-    closing: Cell<bool>,
-    /// Bytes read of a body, while a request was in hand, or while draining.
+    /// Since when it is to end as soon as nothing more can be read.
+    closing: Cell<Option<Instant>>,
+    /// Bytes read of a body, or while draining.
     surplus: Cell<usize>,
+    /// What came while a request was in hand, read by what comes next.
+    ahead: RefCell<BytesMut>,
+    /// More came than is held: what follows can't be read any more.
+    flooded: Cell<bool>,
+    /// What was read since the last sweep and dropped.
+    dropped: Cell<usize>,
+    /// It is to be ended from here.
+    ends: Cell<Option<Over>>,
+    /// What was written last did not fit: the client does not read.
+    blocked: Cell<bool>,
     /// The body goes on to a server as it comes: its pace is the server's too.
     uploads: Cell<bool>,
     /// It is one too many.
@@ -487,9 +540,14 @@
         ClientState {
             phase: Cell::new(Phase::Silent),
             since: Cell::new(Instant::now()),
-            closing: Cell::new(false),
-            surplus: Cell::new(0),
-            uploads: Cell::new(false),
+            closing: Cell::default(),
+            surplus: Cell::default(),
+            ahead: RefCell::default(),
+            flooded: Cell::default(),
+            dropped: Cell::default(),
+            ends: Cell::default(),
+            blocked: Cell::default(),
+            uploads: Cell::default(),
             over,
             wake: Notify::new(),
         }
@@ -497,12 +555,39 @@
 
     fn enter(&self, phase: Phase) {
         self.since.set(Instant::now());
-        if self.surplus.replace(0) >= SURPLUS {
+        self.surplus.set(0);
+        self.closing.set(None);
+        self.uploads.set(false);
+        if self.phase.replace(phase) == Phase::InHand {
+            // Nothing was read for actix-http meanwhile.
             self.wake.notify_one();
         }
-        self.closing.set(false);
-        self.uploads.set(false);
-        self.phase.set(phase);
+    }
+
+    /// Ready when the connection is to be ended from here. While a request is in hand all that comes is read here, in
+    /// whatever state actix-http is: the end of a client that has left stands behind what it sent.
+    fn over(&self, stream: &TcpStream, cx: &mut Context<'_>) -> Poll<Over> {
+        let mut came = [0; 4096];
+        while self.ends.get().is_none() && self.phase.get() == Phase::InHand && self.dropped.get() < DROPPED {
+            let read = match stream.poll_read_ready(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(ready) => ready.and_then(|()| stream.try_read(&mut came)),
+            };
+            match read {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(0) | Err(_) => self.ends.set(Some(Over::Left)),
+                Ok(n) => {
+                    let mut ahead = self.ahead.borrow_mut();
+                    if self.flooded.get() || ahead.len() + n > SURPLUS {
+                        self.flooded.set(true);
+                        self.dropped.set(self.dropped.get() + n);
+                    } else {
+                        ahead.extend_from_slice(&came[..n]);
+                    }
+                }
+            }
+        }
+        self.ends.get().map_or(Poll::Pending, Poll::Ready)
     }
 
     /// When the client has had its time.
@@ -511,6 +596,8 @@
             // Sent away, and nothing has told it so: no answer was due.
             Phase::Idle if stage == Stage::Emptying => Duration::ZERO,
             Phase::Silent if stage == Stage::Emptying => SILENT,
+            // All that can be read of it is answered.
+            Phase::Idle | Phase::Reading if self.flooded.get() => Duration::ZERO,
             Phase::Silent | Phase::Reading => own.client_request,
             Phase::Body if self.uploads.get() => return None,
             Phase::Body => own.client_request + self.earned(),
@@ -527,10 +614,20 @@
     }
 
     fn close(&self) {
-        self.closing.set(true);
+        self.closing.set(self.closing.get().or_else(|| Some(Instant::now())));
         self.wake.notify_one();
     }
 
+    /// A sweep has passed. What was to close and did not, as its client reads nothing, is ended.
+    fn swept(&self, now: Instant) {
+        if self.closing.get().is_some_and(|since| now - since >= DRAIN) {
+            self.ends.set(self.ends.get().or(Some(Over::Left)));
+        }
+        if self.dropped.replace(0) >= DROPPED || self.ends.get().is_some() {
+            self.wake.notify_one();
+        }
+    }
+
     /// How fit it is to make room for another: of the idle and of those without a whole request the oldest.
     fn spare(&self, now: Instant) -> Option<(bool, Duration)> {
         let age = now - self.since.get();
@@ -542,7 +639,7 @@
             }
             Phase::Body | Phase::InHand | Phase::Draining => None,
         };
-        spare.filter(|_| !self.closing.get())
+        spare.filter(|_| self.closing.get().is_none())
     }
 }
 
@@ -557,7 +654,7 @@
     /// A place for a new connection. At the bound another that serves nobody makes room for it, so that those
     /// that connect and say nothing, or asked once and stay, keep nobody out.
     fn seat(self: &Rc<Clients>, permit: OwnedSemaphorePermit) -> Seat {
-        let held = self.seats.borrow().values().filter(|state| !state.closing.get()).count();
+        let held = self.seats.borrow().values().filter(|state| state.closing.get().is_none()).count();
         let over = held >= self.own.clients_now() && !self.make_room(Instant::now());
         let state = Rc::new(ClientState::new(over));
         let number = self.next.replace(self.next.get() + 1);
@@ -612,53 +709,102 @@
     }
 }
 
-/// A client's connection. Dropping it closes the socket and gives its place back.
+/// A client's connection, as actix-http has it.
 struct ClientIo {
-    stream: TcpStream,
-    seat: Seat,
+    stream: Rc<TcpStream>,
+    state: Rc<ClientState>,
     stage: watch::Receiver<Stage>,
 }
 
+impl ClientIo {
+    /// Reads what came ahead of its turn, then what comes.
+    fn read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut ahead = self.state.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let part = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead.split_to(part));
+            return Poll::Ready(Ok(()));
+        }
+        if self.state.flooded.get() {
+            return Poll::Pending;
+        }
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok(n) => {
+                    buf.advance(n);
+                    return Poll::Ready(Ok(()));
+                }
+            }
+        }
+    }
+}
+
 impl AsyncRead for ClientIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        let state = &this.seat.state;
+        let (this, before) = (self.get_mut(), buf.filled().len());
+        let state = &this.state;
         match state.phase.get() {
-            // Guards the processor: actix-http polls without end while it holds more than it may and a request
-            // is in hand. Once that is answered, `enter` has the connection polled again.
-            Phase::InHand if state.surplus.get() >= SURPLUS => return Poll::Pending,
+            // `ClientState::over` reads. Once the request is answered, `enter` has the connection polled again.
+            Phase::InHand => return Poll::Pending,
             Phase::Draining if state.surplus.get() >= SURPLUS => return Poll::Ready(Ok(())),
-            Phase::Silent | Phase::Reading | Phase::Body | Phase::InHand | Phase::Idle | Phase::Draining => {}
+            Phase::Silent | Phase::Reading | Phase::Body | Phase::Idle | Phase::Draining => {}
         }
-        let before = buf.filled().len();
-        let result = Pin::new(&mut this.stream).poll_read(cx, buf);
+        let result = this.read(cx, buf);
         let came = buf.filled().len() - before;
+        let ended = result.is_ready() && came == 0;
         match state.phase.get() {
             Phase::Silent | Phase::Idle if came > 0 => state.enter(Phase::Reading),
+            // What has come of it may be on its way to a server.
+            Phase::Body if ended && state.uploads.get() => state.ends.set(Some(Over::Left)),
             Phase::Body | Phase::InHand | Phase::Draining => state.surplus.set(state.surplus.get() + came),
             Phase::Silent | Phase::Idle | Phase::Reading => {}
         }
+        if !result.is_pending() {
+            return result;
+        }
         // A connection is closed only after its last byte was read: a request that crosses that is served,
         // not lost.
-        let closing = match state.phase.get() {
-            Phase::Silent | Phase::Idle => state.closing.get() || *this.stage.borrow() == Stage::Closing,
-            Phase::Reading | Phase::Body | Phase::Draining => state.closing.get(),
-            Phase::InHand => false,
-        };
-        if result.is_pending() && closing { Poll::Ready(Ok(())) } else { result }
+        let closing = state.closing.get().is_some();
+        match state.phase.get() {
+            Phase::Silent | Phase::Idle if closing || *this.stage.borrow() == Stage::Closing => {
+                Poll::Ready(Ok(()))
+            }
+            // What crosses from here on finds an answer on its way.
+            Phase::Reading | Phase::Body if closing && !state.blocked.get() => {
+                state.ends.set(Some(Over::TooSlow));
+                Poll::Pending
+            }
+            Phase::Reading | Phase::Body | Phase::Draining if closing => Poll::Ready(Ok(())),
+            Phase::Silent | Phase::Idle | Phase::Reading | Phase::Body | Phase::Draining | Phase::InHand => {
+                Poll::Pending
+            }
+        }
     }
 }
 
 impl AsyncWrite for ClientIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        self.state.blocked.set(true);
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => {
+                    self.state.blocked.set(result.as_ref().is_ok_and(|n| *n < buf.len()));
+                    return Poll::Ready(result);
+                }
+            }
+        }
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -136,10 +136,14 @@
         false
     }
 
+    /// The present request was written to its last byte.
+    pub fn written(&self) -> bool {
+        self.sent.get() > 0 && self.written.get().is_none_or(|written| written.whole())
+    }
+
     /// This status where the request was written to its last byte, else the one that says that nothing can have run.
     pub fn unless_written(&self, status: Status) -> Status {
-        let whole = self.sent.get() > 0 && self.written.get().is_none_or(|written| written.whole());
-        if whole { status } else { Status::ConnectFailed }
+        if self.written() { status } else { Status::ConnectFailed }
     }
 }
 
--- a/crates/http/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -52,6 +52,13 @@
         /// Which attempt.
         attempt: Attempt,
     },
+    /// Nobody waits for an attempt any more.
+    Withdraw {
+        /// Of which request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: Attempt,
+    },
     /// Ask the server how it is, for whom.
     Probe(SlotId),
     /// What the list says of it.
@@ -136,6 +143,10 @@
         self.tell(server, Msg::Cancel { id, attempt });
     }
 
+    fn withdraw(&mut self, id: RequestId, attempt: Attempt, server: ServerId) {
+        self.tell(server, Msg::Withdraw { id, attempt });
+    }
+
     fn probe(&mut self, server: ServerId, asked: SlotId) {
         if !self.tell(server, Msg::Probe(asked)) {
             self.common.engine.probed(server, asked, Ended::unsent(Status::ConnectFailed));
@@ -225,6 +236,8 @@
         match msg {
             Msg::Attempt { id, attempt, request, until, connect } => {
                 let line = self.line();
+                // What the connection carried before is not taken for this one, which may be called off unbegun.
+                line.wire.begin(None);
                 let (endpoint, common, server) = (self.endpoint, self.common.clone(), self.server);
                 let (abort, registration) = AbortHandle::new_pair();
                 self.aborts.insert((id, attempt), (abort, line.wire.clone()));
@@ -249,6 +262,13 @@
                     abort.abort();
                 }
             }
+            Msg::Withdraw { id, attempt } => {
+                // Written in part it has not begun either: a server begins with the last byte.
+                if let Some((abort, wire)) = self.aborts.get(&(id, attempt)).filter(|(_, w)| !w.written()) {
+                    wire.withdraw();
+                    abort.abort();
+                }
+            }
             Msg::Probe(asked) => {
                 let line = self.line();
                 let (endpoint, common) = (self.endpoint, self.common.clone());
--- a/crates/sidecar/tests/clients.rs
+++ b/crates/sidecar/tests/clients.rs
@@ -97,8 +97,10 @@
     assert_eq!(second.answer().status(), 200);
     second.send("GET /re");
     clients.push(second);
-    for client in &mut clients {
-        assert!(client.answer_or_end().is_none_or(|answer| answer.status() == 400));
+    // Whoever has begun is told that nothing of it was sent on.
+    for (n, client) in clients.iter_mut().enumerate() {
+        let told = client.answer_or_end().map(|answer| answer.status());
+        assert_eq!(told, (n > 0).then_some(503), "client {n}");
     }
     assert_eq!(server.count(), 1);
 }
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -165,7 +165,15 @@
         act: impl Fn(usize, &Message) -> Act + Send + Sync + 'static,
         load: impl Fn() -> String + Send + Sync + 'static,
     ) -> Server {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Server::on(TcpListener::bind("127.0.0.1:0").unwrap(), act, load)
+    }
+
+    /// The same behind this listener.
+    fn on(
+        listener: TcpListener,
+        act: impl Fn(usize, &Message) -> Act + Send + Sync + 'static,
+        load: impl Fn() -> String + Send + Sync + 'static,
+    ) -> Server {
         let address = listener.local_addr().unwrap();
         let (requests, probes) = (Seen::new(), Seen::new());
         let (opened, closed) = (Seen::new(), Seen::new());
@@ -216,6 +224,40 @@
     pub fn count(&self) -> usize {
         self.requests.len()
     }
+
+    /// The names of the requests that came, in their order.
+    pub fn ids(&self) -> Vec<String> {
+        let id = |message: &Message| message.header("x-request-id").unwrap_or_default().to_owned();
+        self.requests.all().iter().map(|(_, message)| id(message)).collect()
+    }
+}
+
+/// A server to which connections come up only once the test lets them: its queue is full until then.
+pub struct Late {
+    listener: TcpListener,
+    held: Vec<TcpStream>,
+    pub address: SocketAddr,
+}
+
+impl Late {
+    pub fn new() -> Late {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(1).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        let mut held = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
+            held.push(stream);
+        }
+        Late { listener, held, address }
+    }
+
+    /// Lets connections come up from here on.
+    pub fn open(self, act: impl Fn(usize, &Message) -> Act + Send + Sync + 'static) -> Server {
+        drop(self.held);
+        Server::on(self.listener, act, || String::from("{}"))
+    }
 }
 
 /// Carries an act out; false where the connection is over.
@@ -611,6 +653,11 @@
         }
     }
 
+    /// Goes as a process that dies does: what it had not read or written is lost.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
     /// Waits until the other side ends the connection; no byte may come before.
     pub fn ended(&mut self) {
         let mut rest = Vec::new();
