At the end idle connections are closed while new ones are still taken

Cause, from reading: at Stage::Closing, 0.6 s after SIGTERM, idle connections were closed in the moment in which the listener went (front::serve, ClientIo::poll_read). Ruled out: keeping them open to the last, as clients send on every connection that stays open and one read at 0.6 s with the longest deadline would end after end_after_term_ms.

Change: Stage::Parting at two thirds of accept_after_term_ms: idle ones are closed, new ones taken on for the rest of it.

Test: at_the_end_idle_connections_are_closed_while_new_ones_are_still_taken; red on: "Connection refused" where the request comes again.

--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -594,7 +594,7 @@
     fn due(&self, own: &Own, stage: Stage) -> Option<Instant> {
         let time = match self.phase.get() {
             // Sent away, and nothing has told it so: no answer was due.
-            Phase::Idle if stage == Stage::Emptying => Duration::ZERO,
+            Phase::Idle if matches!(stage, Stage::Emptying | Stage::Parting) => Duration::ZERO,
             Phase::Silent if stage == Stage::Emptying => SILENT,
             // All that can be read of it is answered.
             Phase::Idle | Phase::Reading if self.flooded.get() => Duration::ZERO,
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -5,7 +5,7 @@
 
 use common::*;
 use serde_json::json;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::Shutdown;
 
 /// Connections may take long to come up, and clients wait for long.
@@ -130,3 +130,23 @@
     }
     assert_eq!(server.count(), 0);
 }
+
+/// Guards a request that crosses the closing of its idle connection at the end: closed together with the listener, it
+/// found nowhere to come again.
+#[test]
+fn at_the_end_idle_connections_are_closed_while_new_ones_are_still_taken() {
+    let server = Server::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")])
+        .set("/sidecar/accept_after_term_ms", json!(6000))
+        .set("/sidecar/end_after_term_ms", json!(60_000))
+        .set("/sidecar/client_idle_ms", json!(600_000))
+        .start();
+    let mut idle = sidecar.connect();
+    idle.send(&read("r1"));
+    assert_eq!(idle.answer().status(), 200);
+    sidecar.signal("TERM");
+    idle.ended();
+    let _ = idle.stream.write_all(read("r2").as_bytes());
+    let again = sidecar.ask(&read("r2"));
+    assert_eq!((again.status(), again.header("connection")), (200, Some("close")));
+}
--- a/crates/status/src/lifecycle.rs
+++ b/crates/status/src/lifecycle.rs
@@ -20,6 +20,8 @@
     Emptying,
     /// Told to end: serving still, but each answer ends its connection.
     Leaving,
+    /// The same, and idle connections are closed: a request that crosses that comes again, on a new one.
+    Parting,
     /// No new connections, and idle ones are closed.
     Closing,
 }
@@ -50,7 +52,7 @@
             Stage::Starting => "starting",
             Stage::Active => "active",
             Stage::Standby | Stage::Emptying => "standby",
-            Stage::Leaving | Stage::Closing => "ending",
+            Stage::Leaving | Stage::Parting | Stage::Closing => "ending",
         })
     }
 }
@@ -79,6 +81,14 @@
     pub accept: Duration,
 }
 
+impl Times {
+    /// From the order to end until idle connections are closed. What is left of `accept` is for the requests that cross
+    /// that; closed with the listener, such a request found nowhere to come again.
+    fn part(self) -> Duration {
+        self.accept * 2 / 3
+    }
+}
+
 /// The machine. Orders may be repeated; whatever comes once it ends changes nothing any more.
 #[derive(Debug)]
 pub struct Machine {
@@ -101,7 +111,8 @@
     pub fn due(&self) -> Option<Instant> {
         match self.stage {
             Stage::Standby => Some(self.since + self.times.notice),
-            Stage::Leaving => Some(self.since + self.times.accept),
+            Stage::Leaving => Some(self.since + self.times.part()),
+            Stage::Parting => Some(self.since + self.times.accept),
             Stage::Starting | Stage::Active | Stage::Emptying | Stage::Closing => None,
         }
     }
@@ -119,12 +130,17 @@
             (Event::Active, Stage::Standby | Stage::Emptying) => Stage::Active,
             (Event::End, stage) if !stage.ends() => Stage::Leaving,
             (Event::Time, Stage::Standby) if self.due() <= Some(now) => Stage::Emptying,
-            (Event::Time, Stage::Leaving) if self.due() <= Some(now) => Stage::Closing,
+            (Event::Time, Stage::Leaving | Stage::Parting) if self.since + self.times.accept <= now => {
+                Stage::Closing
+            }
+            (Event::Time, Stage::Leaving) if self.due() <= Some(now) => Stage::Parting,
             (_, stage) => stage,
         };
-        if next != self.stage {
-            (self.stage, self.since) = (next, now);
+        // The time to accept counts from the order to end.
+        if next != self.stage && next != Stage::Parting {
+            self.since = now;
         }
+        self.stage = next;
         next
     }
 }
