A reload that shortens deadlines leaves a request in hand its time at the end

Cause, from reading: Config::took lays the new file's end_after_term over the old one, so that after a SIGHUP with shorter deadlines the process ended at SIGTERM while a request taken under the longer ones still had time: taken, and lost. Change: the longer of the two stays.

Further crossings forced, each found sound: a body half in, an attempt that awaits its connection and a repeat that becomes due after SIGTERM (with a second SIGTERM, a SIGHUP and a drain told in between), a second answer on an idle connection.

--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -104,8 +104,10 @@
     pub fn took(&mut self, new: Config, site: Arc<Site>) {
         let fixed = std::mem::take(&mut self.fixed);
         let (listen, console, own, name) = (self.listen, self.console, self.own.clone(), self.name.clone());
+        // A request in hand may have been taken under a longer deadline: at SIGTERM it has its time all the same.
+        let end_after_term = self.end_after_term.max(new.end_after_term);
         // What is taken up only at a start stays as it was.
-        *self = Config { fixed, listen, console, own, name, site, ..new };
+        *self = Config { fixed, listen, console, own, name, site, end_after_term, ..new };
     }
 
     fn load(discovery: First) -> Result<Config> {
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -6,7 +6,10 @@
 use common::*;
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::Shutdown;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
 
 /// Connections may take long to come up, and clients wait for long.
 fn patient(setup: Setup) -> Setup {
@@ -150,3 +153,155 @@
     let again = sidecar.ask(&read("r2"));
     assert_eq!((again.status(), again.header("connection")), (200, Some("close")));
 }
+
+/// Tells the program to end and waits until nobody can connect any more: it has come to its last stage. Connections that
+/// say nothing are closed there, and not before.
+fn ends_and_its_listener_is_gone(sidecar: &Sidecar) {
+    let mut silent = sidecar.connect();
+    sidecar.signal("TERM");
+    silent.ended();
+    let end = Instant::now() + PATIENCE;
+    while TcpStream::connect(sidecar.listen).is_ok() {
+        assert!(Instant::now() < end, "it listens on");
+    }
+}
+
+fn ends_well(sidecar: Sidecar) {
+    let (status, log) = sidecar.end();
+    assert!(status.success() && !log.contains("still open"), "{status}: {log}");
+}
+
+/// The end against a body that is half in: its last byte comes when the listener has gone, and a second order to end and
+/// one to read the file anew come in between.
+#[test]
+fn a_body_half_in_at_the_end_is_served_whatever_else_is_signalled() {
+    let server = Server::start(|_, m| ok(&m.text()));
+    let sidecar = patient(Setup::new(vec![entry("s1", server.address, "up")])).start();
+    let request = waits(once("r1"));
+    let (first, last) = request.split_at(request.len() - 2);
+    let mut client = sidecar.connect();
+    client.send(first);
+    // It has been read: another on a connection behind it is answered.
+    assert_eq!(sidecar.ask(&read("r2")).status(), 200);
+    sidecar.signal("TERM");
+    sidecar.logged("told to end");
+    sidecar.signal("HUP");
+    ends_and_its_listener_is_gone(&sidecar);
+    client.send(last);
+    let answer = client.answer();
+    assert_eq!((answer.text().as_str(), answer.header("connection")), ("body", Some("close")));
+    client.ended();
+    ends_well(sidecar);
+}
+
+/// The end against an attempt that waits for its connection, which comes up when the listener has gone.
+#[test]
+fn an_attempt_that_waits_for_its_connection_at_the_end_goes_out_and_is_answered() {
+    let late = Late::new();
+    let sidecar = patient(Setup::new(vec![entry("s1", late.address, "up")])).start();
+    let mut client = sidecar.connect();
+    client.send(&waits(once("r1")));
+    sidecar.logged("attempt 0 of request 0 goes out");
+    ends_and_its_listener_is_gone(&sidecar);
+    let server = late.open(|_, _| ok("x"));
+    assert_eq!(client.answer().text(), "x");
+    client.ended();
+    ends_well(sidecar);
+    assert_eq!(server.ids(), ["r1"]);
+}
+
+/// The end against a repeat that becomes due after it, and a drain that is told after it: the repeat goes out, and not to
+/// the server that leaves.
+#[test]
+fn a_repeat_due_after_the_end_was_told_goes_to_a_server_that_stays() {
+    let (gate, wait) = latch("");
+    let asked = Arc::new(AtomicUsize::new(0));
+    let servers = [(), (), ()].map(|()| {
+        let (asked, wait) = (asked.clone(), wait.clone());
+        Server::start(move |_, _| match (asked.fetch_add(1, Ordering::SeqCst), &wait) {
+            (0, Act::Wait(gate, _)) => {
+                let _ = gate.lock().unwrap().recv_timeout(PATIENCE);
+                Act::Reply(503, vec![("X-Not-Processed", "1".into())], String::new())
+            }
+            _ => ok("served"),
+        })
+    });
+    let discovery = Discovery::start();
+    let known: Vec<_> =
+        servers.iter().enumerate().map(|(n, s)| entry(&format!("s{n}"), s.address, "up")).collect();
+    let sidecar = patient(Setup::new(known)).discovery(&discovery).start();
+    discovery.calls.wait(1, "watches");
+    let mut client = sidecar.connect();
+    client.send(&waits(once("r1")));
+    let end = Instant::now() + PATIENCE;
+    let first = loop {
+        if let Some(n) = servers.iter().position(|s| s.count() > 0) {
+            break n;
+        }
+        assert!(Instant::now() < end, "no attempt");
+    };
+    ends_and_its_listener_is_gone(&sidecar);
+    let leaves = (first + 1) % 3;
+    discovery.send(9, false, vec![entry(&format!("s{leaves}"), servers[leaves].address, "draining")]);
+    sidecar.logged("0 up, 1 draining");
+    gate.send(()).unwrap();
+    assert_eq!(client.answer().text(), "served");
+    ends_well(sidecar);
+    assert_eq!(servers[leaves].count(), 0, "it was told to leave before the repeat");
+    assert_eq!(servers[(first + 2) % 3].ids(), ["r1"]);
+}
+
+/// The end under settings whose deadlines a reload has shortened: a request taken before has its own time still.
+#[test]
+fn a_reload_that_shortens_deadlines_leaves_a_request_in_hand_its_time_at_the_end() {
+    let server = Server::start(|_, _| Act::Hang);
+    let mut setup = Setup::new(vec![entry("s1", server.address, "up")]);
+    for n in 0..3 {
+        setup = setup.set(&format!("/settings/classes/{n}/deadline"), json!(3_000_000));
+    }
+    let sidecar = setup.start();
+    let mut client = sidecar.connect();
+    client.send(&once("r1").replace("X-Timeout: 0.9", "X-Timeout: 2.5"));
+    server.requests.wait(1, "requests");
+    let mut config = sidecar.config.clone();
+    for n in 0..3 {
+        config["settings"]["classes"][n]["aim"] = json!(100_000);
+        config["settings"]["classes"][n]["deadline"] = json!(300_000);
+    }
+    sidecar.reload(&config.to_string());
+    sidecar.logged("SIGHUP: new configuration");
+    sidecar.signal("TERM");
+    assert_eq!(client.answer_or_end().map(|answer| answer.status()), Some(502));
+    ends_well(sidecar);
+}
+
+/// A second answer that comes when its connection stands idle: the connection is given up, and the next request has an
+/// answer of its own.
+#[test]
+fn a_second_answer_on_an_idle_connection_is_never_the_next_requests() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (come_late, late) = std::sync::mpsc::channel();
+    let given_up = Seen::new();
+    let closed = given_up.clone();
+    std::thread::spawn(move || {
+        let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{body}");
+        for (n, mut stream) in listener.incoming().map_while(Result::ok).enumerate() {
+            let asked = read_message(&mut std::io::BufReader::new(&stream));
+            assert!(matches!(asked, Ok(Some(_))));
+            stream.write_all(answer(if n == 0 { "first" } else { "other" }).as_bytes()).unwrap();
+            if n == 0 {
+                late.recv_timeout(PATIENCE).unwrap();
+                stream.write_all(answer("first").as_bytes()).unwrap();
+                // A reset says the same: what it was sent is not read.
+                let _ = stream.read(&mut [0]);
+                closed.push(());
+            }
+        }
+    });
+    let sidecar = Setup::new(vec![entry("s1", address, "up")]).start();
+    assert_eq!(sidecar.ask(&once("r1")).text(), "first");
+    come_late.send(()).unwrap();
+    given_up.wait(1, "connections given up");
+    assert_eq!(sidecar.ask(&once("r2")).text(), "other");
+}
