What leads to a server's old process or place is not used once the list told of a new one

Cause, from reading Peer::take and Peer::done: at a new address or start the idle connections were dropped, but one in use then came back to the pool with its answer, and an attempt that still waited for its connection to the old place went on there, whose address may be another server's by then. Ruled out: a new address alone, as awc keeps connections by address; a new start at the same address is hit.

Change: a connection keeps which process it leads to and comes back only while that is the server's; what has not begun at a replaced process is withdrawn, as at a drain, and drawn again.

Tests: a_connection_in_use_while_its_server_started_anew_is_not_used_again, without the mend "left: [0, 0], right: [0, 1]"; what_waits_for_its_connection_to_a_server_that_moved_is_drawn_again, without it no answer within 20 s.

--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -16,6 +16,7 @@
 use std::future::{Future, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
@@ -178,11 +179,13 @@
     pub wire: Rc<Wire>,
     /// Since when it stands idle.
     pub since: Instant,
+    /// The process that it leads to: where it was reached and when it had started.
+    pub to: (SocketAddr, u64),
 }
 
 impl Line {
     /// One to be opened when it is first sent on.
-    pub fn new(means: &Means, gate: Rc<Gate>) -> Line {
+    pub fn new(means: &Means, gate: Rc<Gate>, to: (SocketAddr, u64)) -> Line {
         let wire = Rc::new(Wire::default());
         let dial = Dial { means: means.clone(), gate, wire: wire.clone() };
         // Lifetimes and limits are kept here, so awc's own must never act.
@@ -199,7 +202,7 @@
             .disable_redirects()
             .no_default_headers()
             .finish();
-        Line { client, wire, since: Instant::now() }
+        Line { client, wire, since: Instant::now(), to }
     }
 }
 
--- a/crates/http/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -283,21 +283,23 @@
                 // Connections to an old process or place are dead, though nothing may have told of that: what
                 // is written to one ends as a reset, after which an unsafe request must not be sent again.
                 let (endpoint, boot_ms) = at.unwrap_or((self.endpoint, self.boot_ms));
-                if (endpoint, boot_ms) != (self.endpoint, self.boot_ms) || state == State::Gone {
+                let moved = (endpoint, boot_ms) != (self.endpoint, self.boot_ms);
+                if moved || state == State::Gone {
                     self.idle.clear();
                 }
                 (self.endpoint, self.boot_ms) = (endpoint, boot_ms);
-                self.listed(state);
+                self.listed(state, moved);
             }
         }
     }
 
     /// A server that leaves gets nothing new from this moment on. Its drain may have been told long before it was
     /// heard, so no grace is left to spend: what has not begun there ends as never sent, and is drawn again.
-    fn listed(&mut self, state: State) {
+    /// The same holds for what has not begun at a process that it replaced, whose address may be another server's by now.
+    fn listed(&mut self, state: State, moved: bool) {
         let leaves = state != State::Ready;
         self.gate.closed.set(leaves);
-        if leaves {
+        if leaves || moved {
             for (abort, wire) in self.aborts.values().filter(|(_, wire)| wire.unsent()) {
                 wire.withdraw();
                 abort.abort();
@@ -306,7 +308,9 @@
     }
 
     fn done(&mut self, done: Done) {
-        if let Some(mut line) = done.line.filter(|line| line.wire.fit()) {
+        // One that was in use while its server moved or started anew leads to what was there before.
+        let here = (self.endpoint, self.boot_ms);
+        if let Some(mut line) = done.line.filter(|line| line.wire.fit() && line.to == here) {
             line.since = Instant::now();
             self.idle.push(line);
         }
@@ -335,7 +339,7 @@
                 return line;
             }
         }
-        Line::new(&self.common.means, self.gate.clone())
+        Line::new(&self.common.means, self.gate.clone(), (self.endpoint, self.boot_ms))
     }
 }
 
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -305,3 +305,45 @@
     given_up.wait(1, "connections given up");
     assert_eq!(sidecar.ask(&once("r2")).text(), "other");
 }
+
+/// A server that starts anew in its place while a request is out there: the connection that was in use is not used again,
+/// as it leads to the process that is no more, of which nothing may have told.
+#[test]
+fn a_connection_in_use_while_its_server_started_anew_is_not_used_again() {
+    let (gate, wait) = latch("old");
+    let server = Server::start(move |n, _| if n == 0 { wait.clone() } else { ok("new") });
+    let discovery = Discovery::start();
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).discovery(&discovery);
+    let sidecar = patient(sidecar).start();
+    discovery.calls.wait(1, "watches");
+    let mut client = sidecar.connect();
+    client.send(&waits(once("r1")));
+    server.requests.wait(1, "requests");
+    let mut anew = entry("s1", server.address, "up");
+    anew["boot_ms"] = json!(1_000);
+    discovery.send(9, false, vec![anew]);
+    sidecar.logged("list changes revision 9");
+    gate.send(()).unwrap();
+    assert_eq!(client.answer().text(), "old");
+    assert_eq!(sidecar.ask(&once("r2")).text(), "new");
+    let connections: Vec<usize> = server.requests.all().iter().map(|(connection, _)| *connection).collect();
+    assert_eq!(connections, [0, 1]);
+}
+
+/// A server that moves while an attempt waits for its connection: what has not begun at the old place, which may be another
+/// server's by now, is drawn again.
+#[test]
+fn what_waits_for_its_connection_to_a_server_that_moved_is_drawn_again() {
+    let late = Late::new();
+    let new = Server::start(|_, _| ok("new"));
+    let discovery = Discovery::start();
+    let sidecar = patient(Setup::new(vec![entry("s1", late.address, "up")])).discovery(&discovery).start();
+    discovery.calls.wait(1, "watches");
+    let mut client = sidecar.connect();
+    client.send(&waits(once("r1")));
+    sidecar.logged("attempt 0 of request 0 goes out");
+    let other = Server::start(|_, _| ok("new"));
+    discovery.send(9, false, vec![entry("s1", new.address, "up"), entry("s2", other.address, "up")]);
+    assert_eq!(client.answer().text(), "new");
+    assert_eq!(late.open(|_, _| ok("old")).ids(), Vec::<String>::new());
+}
