What is turned away after its client has left is not tried again, and an upload that breaks off is taken back: tests

Two further crossings of a client's end, forced: the answer that turns an attempt away comes after it, and it falls within a body that goes on to the server as it comes while that connection is still coming up.

--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -33,6 +33,8 @@
     Resets,
     /// It sends far more than is held of it, and closes: its end stands behind that.
     FloodsAndCloses,
+    /// Its body is longer than is held, goes on to the server as it comes, and breaks off.
+    WithinItsBody,
 }
 
 /// Guards the operators' term that a request whose client has left is not sent on: an attempt that waited for its
@@ -45,6 +47,7 @@
         (false, Leaves::HalfCloses),
         (true, Leaves::Resets),
         (false, Leaves::FloodsAndCloses),
+        (false, Leaves::WithinItsBody),
     ] {
         let late = Late::new();
         let sidecar = patient(Setup::new(vec![entry("s1", late.address, "up")]))
@@ -52,10 +55,17 @@
             .set("/sidecar/requests", json!(1))
             .start();
         let mut client = sidecar.connect();
-        client.send(&waits(once("left")));
+        let request = waits(once("left"));
+        match leaves {
+            Leaves::WithinItsBody => {
+                let half = request.replace("Content-Length: 4", "Content-Length: 200000");
+                client.send(&(half + &"x".repeat(100_000)));
+            }
+            _ => client.send(&request),
+        }
         sidecar.logged("attempt 0 of request 0 goes out");
         match leaves {
-            Leaves::Closes => drop(client),
+            Leaves::Closes | Leaves::WithinItsBody => drop(client),
             Leaves::HalfCloses => client.stream.shutdown(Shutdown::Write).unwrap(),
             Leaves::Resets => client.reset(),
             Leaves::FloodsAndCloses => {
@@ -71,6 +81,39 @@
     }
 }
 
+/// The same for a wait before a repeat: the first attempt is turned away when the client has left.
+#[test]
+fn what_is_turned_away_after_its_client_has_left_is_not_tried_again() {
+    let (gate, wait) = latch("");
+    let Act::Wait(gate_of, _) = wait else { unreachable!() };
+    let servers = [(), ()].map(|()| {
+        let gate = gate_of.clone();
+        Server::start(move |_, m| match m.header("x-request-id") {
+            Some("left") => {
+                let _ = gate.lock().unwrap().recv_timeout(PATIENCE);
+                Act::Reply(503, vec![("X-Not-Processed", "1".into())], String::new())
+            }
+            _ => ok("x"),
+        })
+    });
+    let known = vec![entry("s1", servers[0].address, "up"), entry("s2", servers[1].address, "up")];
+    let sidecar = patient(Setup::new(known)).set("/sidecar/requests", json!(1)).start();
+    let mut client = sidecar.connect();
+    client.send(&waits(once("left")));
+    sidecar.logged("attempt 0 of request 0 goes out");
+    drop(client);
+    // Its one place is free: that it left has been seen.
+    let end = Instant::now() + PATIENCE;
+    while sidecar.ask(&waits(read("next"))).status() != 200 {
+        assert!(Instant::now() < end, "its place is not given back");
+    }
+    gate.send(()).unwrap();
+    sidecar.logged("Full after");
+    assert_eq!(sidecar.ask(&waits(read("after"))).status(), 200);
+    let left = servers.iter().flat_map(Server::ids).filter(|id| id == "left").count();
+    assert_eq!(left, 1);
+}
+
 /// The same where nothing of the request was read before its client had gone: it stood in the queue of the machine.
 #[test]
 fn what_waits_to_be_accepted_is_not_sent_on_when_its_client_has_left() {
