A list on a watch may be indented over several lines

Change: a line end within open brackets, outside of strings, does not end a line; an empty one does, so that half an object never waits for its rest while signs of life come.

Tests: a_list_over_several_lines_is_taken_as_one, without the mend "watch 0 ended: it sent what is no list: EOF while parsing an object at line 1 column 1"; an_object_over_several_lines_is_one_and_half_of_one_waits_for_nothing, in pieces of every size.

--- a/crates/directory/src/lines.rs
+++ b/crates/directory/src/lines.rs
@@ -7,15 +7,30 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TooLong;
 
-/// Cuts what a watch brings into lines, however its bytes are grouped.
+/// Cuts what a watch brings into lines, however its bytes are grouped. An object that is indented over several lines is one:
+/// a line end within its brackets does not end it.
 #[derive(Debug, Default)]
 pub struct Lines {
     line: Vec<u8>,
+    /// Brackets that are open, outside of strings.
+    open: usize,
+    text: Text,
+}
+
+/// Where in a text the last byte stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Text {
+    #[default]
+    Outside,
+    Within,
+    /// Behind a backslash.
+    Escaped,
 }
 
 impl Lines {
     /// Takes in bytes and gives the lines that they end, without their ends and without blanks around them. A
-    /// line cut off by the end of the watch is never given.
+    /// line cut off by the end of the watch is never given. An empty line ends one whose brackets are still open, so
+    /// that half an object never waits for the rest of it while signs of life come.
     ///
     /// # Errors
     ///
@@ -26,12 +41,51 @@
             if self.line.len() + piece.len() > LINE_BYTES {
                 return Err(TooLong);
             }
+            let starts = self.line.last().is_none_or(|last| *last == b'\n');
             self.line.extend_from_slice(piece);
-            if self.line.ends_with(b"\n") {
+            piece.iter().for_each(|byte| self.count(*byte));
+            let empty = starts && piece.trim_ascii().is_empty();
+            if self.line.ends_with(b"\n") && (self.open == 0 || self.text != Text::Outside || empty) {
                 whole.push(self.line.trim_ascii().to_vec());
-                self.line.clear();
+                *self = Lines::default();
             }
         }
         Ok(whole)
     }
+
+    fn count(&mut self, byte: u8) {
+        self.text = match (self.text, byte) {
+            (Text::Outside, b'{' | b'[') => {
+                self.open += 1;
+                Text::Outside
+            }
+            (Text::Outside, b'}' | b']') => {
+                self.open = self.open.saturating_sub(1);
+                Text::Outside
+            }
+            (Text::Outside, b'"') | (Text::Escaped, _) => Text::Within,
+            (Text::Within, b'"') => Text::Outside,
+            (Text::Within, b'\\') => Text::Escaped,
+            (text, _) => text,
+        };
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards lists that come indented, wherever they are cut: taken for lines of their own, each of their lines was garbage.
+    #[test]
+    fn an_object_over_several_lines_is_one_and_half_of_one_waits_for_nothing() {
+        let one = "{\n  \"rev\": 8,\n  \"x\": \"}]\\\"{\",\n  \"targets\": [\n    {}\n  ]\n}";
+        let told = format!("\n{one}\n\n{{\"rev\":9}}\n{{\"cut\":[\n\n \nno list\n{{\"s\": \"un\n{{}}\n");
+        let due = ["", one, "", "{\"rev\":9}", "{\"cut\":[", "", "no list", "{\"s\": \"un", "{}"];
+        for size in 1..told.len() {
+            let mut lines = Lines::default();
+            let pieces = told.as_bytes().chunks(size).map(|piece| lines.take(piece).unwrap());
+            let got: Vec<String> = pieces.flatten().map(|l| String::from_utf8(l).unwrap()).collect();
+            assert_eq!(got, due, "in pieces of {size}");
+        }
+    }
 }
--- a/crates/sidecar/tests/lists.rs
+++ b/crates/sidecar/tests/lists.rs
@@ -271,6 +271,20 @@
     ask_until(&sidecar, "x");
 }
 
+/// Guards a watch whose lists are indented: each was taken for garbage, and the watch for broken.
+#[test]
+fn a_list_over_several_lines_is_taken_as_one() {
+    let server = Server::start(|_, _| ok("x"));
+    let discovery = Discovery::start();
+    let sidecar = Setup::new(vec![]).discovery(&discovery).start();
+    discovery.calls.wait(1, "watches");
+    let list = json!({"rev": 9, "all": true, "targets": [entry("s1", server.address, "up")]});
+    discovery.send_raw(&format!("{}\n", serde_json::to_string_pretty(&list).unwrap()));
+    read_revision(&sidecar, 9);
+    ask_until(&sidecar, "x");
+    assert_eq!(discovery.calls.len(), 1, "the watch is good");
+}
+
 #[test]
 fn where_lists_come_on_request_the_first_call_is_made_at_once_and_again_after_a_break() {
     // The module's first call once came before the way to discovery stood and was lost; the next is due only
