Tests: a long answer at the end, two processes with a gap between, a key asked twice

Three crossings that docs/crossings.md had named as without a test, each found sound. The test of a hand-over gives its old process 6 s of taking, as idle connections are now closed before the end of that.

--- a/crates/sidecar/tests/bodies.rs
+++ b/crates/sidecar/tests/bodies.rs
@@ -72,6 +72,31 @@
     assert!(sidecar.memory() < 48 << 20);
 }
 
+/// The end against an answer that is half written to a client that reads slowly: it comes to its end, and then the process.
+#[test]
+fn a_long_answer_half_written_at_the_end_comes_to_its_own() {
+    let sidecar = server(|mut stream| {
+        head(&mut stream);
+        let told = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
+        stream.write_all(told.as_bytes()).unwrap();
+        let _ = stream.write_all(&vec![b'x'; LONG]);
+    })
+    .set("/sidecar/accept_after_term_ms", json!(0))
+    .set("/sidecar/end_after_term_ms", json!(60_000))
+    .start();
+    let mut client = sidecar.connect();
+    client.send(&read("r1"));
+    let mut got = vec![0; 1];
+    client.stream.read_exact(&mut got).unwrap();
+    sidecar.signal("TERM");
+    sidecar.logged("told to end");
+    let _ = client.stream.read_to_end(&mut got);
+    let body = got.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
+    assert_eq!(got.len() - body, LONG);
+    let (status, log) = sidecar.end();
+    assert!(status.success() && !log.contains("still open"), "{log}");
+}
+
 /// Guards against half an answer taken for a whole one, in both forms.
 #[test]
 fn a_long_answer_that_breaks_off_ends_its_connection_before_its_end() {
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -440,3 +440,21 @@
     assert_eq!(client.answer().text(), "new");
     assert_eq!(late.open(|_, _| ok("old")).ids(), Vec::<String>::new());
 }
+
+/// A client that comes again under the same key, with a new name, while its first request is in hand: each has its own one
+/// answer, and carries the key by which the servers know the two for one.
+#[test]
+fn a_second_request_under_a_key_in_hand_has_an_answer_of_its_own() {
+    let (gate, wait) = latch("first");
+    let server = Server::start(move |n, _| if n == 0 { wait.clone() } else { ok("second") });
+    let sidecar = patient(Setup::new(vec![entry("s1", server.address, "up")])).start();
+    let mut first = sidecar.connect();
+    first.send(&waits(pay("r1")));
+    server.requests.wait(1, "requests");
+    assert_eq!(sidecar.ask(&waits(pay("r2"))).text(), "second");
+    gate.send(()).unwrap();
+    assert_eq!(first.answer().text(), "first");
+    assert_eq!(server.ids(), ["r1", "r2"]);
+    let requests = server.requests.all();
+    assert!(requests.iter().all(|(_, message)| message.header("idempotency-key") == Some("k1")));
+}
--- a/crates/sidecar/tests/operators.rs
+++ b/crates/sidecar/tests/operators.rs
@@ -275,7 +275,8 @@
     let (listener, at) = held();
     let known = vec![entry("s1", server.address, "up")];
     let (setup, _) = on(&listener, at, known.clone());
-    let old = setup.start();
+    // What it keeps idle is closed at two thirds of this, long after it is used here.
+    let old = setup.set("/sidecar/accept_after_term_ms", json!(6000)).start();
     let mut kept = old.connect();
     kept.send(&read("k0"));
     assert_eq!(kept.answer().status(), 200);
@@ -322,6 +323,47 @@
     });
 }
 
+/// The old process ends, with a request under way, while the new one is not there yet: what comes meanwhile waits in the
+/// socket that the platform holds, and is served by the new one.
+#[test]
+fn what_comes_between_two_processes_waits_for_the_new_one() {
+    let (gate, wait) = std::sync::mpsc::channel();
+    let wait = std::sync::Mutex::new(wait);
+    let server = Server::start(move |n, _| {
+        if n == 0 {
+            wait.lock().unwrap().recv_timeout(PATIENCE).unwrap();
+        }
+        ok(&n.to_string())
+    });
+    let (listener, at) = held();
+    let known = vec![entry("s1", server.address, "up")];
+    let old = on(&listener, at, known.clone()).0.start();
+    let mut under_way = old.connect();
+    under_way.send(&once("r0"));
+    server.requests.wait(1, "requests");
+    old.signal("TERM");
+    old.logged("told to end");
+    let mut between: Vec<TcpStream> = (1..4)
+        .map(|n| {
+            let mut client = TcpStream::connect(at).unwrap();
+            client.set_read_timeout(Some(PATIENCE)).unwrap();
+            let request = read(&format!("r{n}")).replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+            client.write_all(request.as_bytes()).unwrap();
+            client
+        })
+        .collect();
+    gate.send(()).unwrap();
+    assert_eq!(under_way.answer().text(), "0");
+    let (status, log) = old.end();
+    assert!(status.success(), "{log}");
+    let _new = on(&listener, at, known).0.spawn();
+    for client in &mut between {
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+}
+
 #[test]
 fn what_is_told_wrong_ends_the_start_and_disturbs_nobody() {
     let (listener, at) = held();
