A repeat under a key begins before its key is forgotten, or not at all

Cause: the module compares the window with the moment of its decision (rules.rs, advance); an attempt that then waits for its connection was written whenever that came up, up to its client's patience. Change: the engine narrows the time to connect of a repeat under a key to what is left of the window since the first attempt went out; what has not begun by then ends as never sent.

Test: a_repeat_whose_connection_outlasts_its_window_is_not_sent; the engine's auditor asks for the same under random files.

--- a/crates/engine/src/core.rs
+++ b/crates/engine/src/core.rs
@@ -10,7 +10,7 @@
 use crate::timers::Timers;
 use crate::watch::{Watch, Watched};
 use dunlincleat::api::{
-    Action, Attempt, Event, ListKind, RequestId, ServerId, Settings, Span, State, Status, Time, Token,
+    Action, Attempt, Effect, Event, ListKind, RequestId, ServerId, Settings, Span, State, Status, Time, Token,
 };
 use dunlincleat_directory::Delivery;
 use dunlincleat_limits::gate::Stand;
@@ -268,6 +268,9 @@
     out: usize,
     /// The attempt whose answer is being passed on.
     passing: Option<Attempt>,
+    /// For how long its key is remembered, where it has one, and when its first attempt went out.
+    window: Option<Span>,
+    first: Option<Time>,
 }
 
 /// What a timer was set for.
@@ -283,6 +286,14 @@
     site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default()
 }
 
+fn windows(site: &Site) -> Vec<Option<Span>> {
+    let window = |effect| match effect {
+        Effect::Keyed { window, .. } => Some(window),
+        Effect::Safe | Effect::Unsafe => None,
+    };
+    site.settings.classes.iter().map(|class| window(class.effect)).collect()
+}
+
 /// The engine.
 pub struct Engine<P, B> {
     pools: Pools,
@@ -290,6 +301,8 @@
     max_attempts: u32,
     /// Attempts may be called off.
     cancel: bool,
+    /// For how long a key of each class is remembered, where it has one.
+    windows: Vec<Option<Span>>,
     timers: Timers<Due>,
     requests: FxHashMap<RequestId, Entry<P>>,
     places: Places,
@@ -313,6 +326,7 @@
         Engine {
             max_attempts: site.settings.limits.max_attempts,
             cancel: site.settings.limits.cancel,
+            windows: windows(site),
             remembered: longest,
             pools: Pools::new(site, seed, longest),
             gate: Gate::new(most),
@@ -432,6 +446,8 @@
                     ended,
                     out: 0,
                     passing: None,
+                    window: self.windows.get(class as usize).copied().flatten(),
+                    first: None,
                 };
                 self.requests.insert(id, entry);
                 self.event(now, slot, Event::Request { id, left, class, tenant, hint, key, repeat }, out);
@@ -480,6 +496,7 @@
             Input::Settings { site, watched } => {
                 self.max_attempts = site.settings.limits.max_attempts;
                 self.cancel = site.settings.limits.cancel;
+                self.windows = windows(&site);
                 // A request may have been taken under the longer deadline.
                 self.remembered = self.remembered.max(longest(&site));
                 for slot in self.pools.settle(&site, self.remembered) {
@@ -671,6 +688,12 @@
                 self.timers.set(now + after, Due::Copy(id));
             }
         }
+        // A repeat that waited for its connection began after its key was forgotten.
+        let first = *entry.first.get_or_insert(now);
+        if let Some(window) = entry.window.filter(|_| attempt.0 > 0) {
+            let left = (first + window) - now;
+            connect = Some(connect.map_or(left, |connect| connect.min(left)));
+        }
         let payload = entry.payload.clone();
         let there = self.places.goes_out(server);
         if there && !over {
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -458,3 +458,30 @@
     let requests = server.requests.all();
     assert!(requests.iter().all(|(_, message)| message.header("idempotency-key") == Some("k1")));
 }
+
+/// A repeat under a key whose connection comes up only when the key is forgotten: it is not sent.
+#[test]
+fn a_repeat_whose_connection_outlasts_its_window_is_not_sent() {
+    let (gate, wait) = std::sync::mpsc::channel();
+    let wait = std::sync::Mutex::new(wait);
+    let first = Server::start(move |_, _| {
+        wait.lock().unwrap().recv_timeout(PATIENCE).unwrap();
+        Act::Reply(500, vec![], String::new())
+    });
+    let late = Late::new();
+    let discovery = Discovery::start();
+    let sidecar = patient(Setup::new(vec![entry("s1", first.address, "up")]))
+        .set("/settings/classes/2/window", json!(3_000_000))
+        .discovery(&discovery)
+        .start();
+    discovery.calls.wait(1, "watches");
+    let mut client = sidecar.connect();
+    client.send(&waits(pay("r1")));
+    first.requests.wait(1, "requests");
+    discovery.send(9, false, vec![entry("s2", late.address, "up")]);
+    sidecar.logged("list changes revision 9");
+    gate.send(()).unwrap();
+    sidecar.logged("attempt 1 of request 0 goes out");
+    assert_eq!(client.answer().status(), 503);
+    assert_eq!(late.open(|_, _| ok("twice")).ids(), Vec::<String>::new());
+}
