The window of a key counts from the first attempt that may have run

Cause, from reading again: Engine::send counted the window from the first attempt of all, also where that had been turned away or had never come up.

Change: the engine keeps when each attempt went out and how it ended, in one list in place of two and a field, and counts as the module does.

The engine's tests and the crossing of a late connection pass.

--- a/crates/engine/src/core.rs
+++ b/crates/engine/src/core.rs
@@ -262,15 +262,21 @@
     /// Where it stands with its route, until it is answered.
     stand: Stand,
     answered: bool,
-    /// The servers of its attempts, in order, which of them have ended, and how many are out.
-    attempts: Vec<ServerId>,
-    ended: Vec<bool>,
+    /// Its attempts, in order, and how many of them are out.
+    attempts: Vec<Tried>,
     out: usize,
     /// The attempt whose answer is being passed on.
     passing: Option<Attempt>,
-    /// For how long its key is remembered, where it has one, and when its first attempt went out.
+    /// For how long its key is remembered, where it has one.
     window: Option<Span>,
-    first: Option<Time>,
+}
+
+/// An attempt, which the engine put out.
+#[derive(Clone, Copy, Debug)]
+struct Tried {
+    server: ServerId,
+    at: Time,
+    ended: Option<Status>,
 }
 
 /// What a timer was set for.
@@ -432,7 +438,7 @@
                     wait = rule.timeout.map_or(wait, |timeout| wait.min(timeout));
                 }
                 let left = Span(wait.0.saturating_sub((now - received).0));
-                let (answered, attempts, ended) = (false, Vec::new(), Vec::new());
+                let (answered, attempts) = (false, Vec::new());
                 let most = self.max_attempts;
                 let entry = Entry {
                     payload,
@@ -443,11 +449,9 @@
                     stand,
                     answered,
                     attempts,
-                    ended,
                     out: 0,
                     passing: None,
                     window: self.windows.get(class as usize).copied().flatten(),
-                    first: None,
                 };
                 self.requests.insert(id, entry);
                 self.event(now, slot, Event::Request { id, left, class, tenant, hint, key, repeat }, out);
@@ -529,8 +533,8 @@
         let (mut closed, mut again, mut slot) = (true, true, SlotId::ALL);
         if let Some(entry) = self.requests.get_mut(&id) {
             entry.out = entry.out.saturating_sub(1);
-            if let Some(ended) = entry.ended.get_mut(attempt.0 as usize) {
-                *ended = true;
+            if let Some(tried) = entry.attempts.get_mut(attempt.0 as usize) {
+                tried.ended = Some(status);
             }
             if let Some(rule) = entry.rule.as_ref().filter(|_| status == Status::Ok) {
                 self.gate.took(rule, latency);
@@ -625,8 +629,8 @@
             }
             Action::Cancel { id, attempt } => {
                 let entry = self.requests.get(&id);
-                if let Some(server) = entry.and_then(|e| e.attempts.get(attempt.0 as usize)) {
-                    out.push(Output::Cancel { id, attempt, server: *server });
+                if let Some(tried) = entry.and_then(|e| e.attempts.get(attempt.0 as usize)) {
+                    out.push(Output::Cancel { id, attempt, server: tried.server });
                 }
             }
             Action::Probe { server } => {
@@ -668,8 +672,10 @@
     ) {
         let Some(entry) = self.requests.get_mut(&id) else { return };
         let attempt = Attempt(entry.attempts.len() as u32);
-        entry.attempts.push(server);
-        entry.ended.push(false);
+        // A repeat that waited for its connection began after its key was forgotten.
+        let ran = entry.attempts.iter().find(|tried| !tried.ended.is_some_and(Status::never_ran));
+        let forgotten = entry.window.zip(ran).map(|(window, first)| first.at + window);
+        entry.attempts.push(Tried { server, at: now, ended: None });
         entry.out += 1;
         self.tally.attempts += 1;
         let mut over = entry.answered || attempt.0 >= entry.most;
@@ -688,10 +694,8 @@
                 self.timers.set(now + after, Due::Copy(id));
             }
         }
-        // A repeat that waited for its connection began after its key was forgotten.
-        let first = *entry.first.get_or_insert(now);
-        if let Some(window) = entry.window.filter(|_| attempt.0 > 0) {
-            let left = (first + window) - now;
+        if let Some(forgotten) = forgotten {
+            let left = forgotten - now;
             connect = Some(connect.map_or(left, |connect| connect.min(left)));
         }
         let payload = entry.payload.clone();
@@ -730,9 +734,8 @@
         say: impl Fn(RequestId, Attempt, ServerId) -> Output<P, B>,
     ) {
         let Some(entry) = self.requests.get(&id) else { return };
-        let attempts = entry.attempts.iter().zip(&entry.ended).enumerate();
-        let still = attempts.filter(|(_, (_, ended))| !**ended);
-        out.extend(still.map(|(n, (server, _))| say(id, Attempt(n as u32), *server)));
+        let still = entry.attempts.iter().enumerate().filter(|(_, tried)| tried.ended.is_none());
+        out.extend(still.map(|(n, tried)| say(id, Attempt(n as u32), tried.server)));
     }
 
     /// Nothing is owed to a request any more: its place with its route is given back here and nowhere else. Gives
