--- a/deploy/regression.sh
+++ b/deploy/regression.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Plays the standing test, its short days, other customers, the other days that count and the earlier ones in turn, each by its panel's name. The cores are to
-# be free of all else.
+# Plays the standing test, its short days, other customers, the other days that count and the earlier ones in turn, each by
+# its panel's name. The cores are to be free of all else.
 #   deploy/regression.sh KIT [--quick]
 # Ends with 1 where any panel tells of a broken rule, a fault or a failed gate, or brought no figure; 2 is a wrong call.
 set -eu
