A connection's end from here has one name; a stage that is told no more spins nothing

Cause, from reading front.rs again: `over` was a field (one client too many), a method and an enum (ended from here) and two locals; and connection() had lost its guard against a stage whose sender is gone, which would have polled without end. Nobody drops that sender while the process lives, so no test can be red. Change: the enum and the method are `Cut` and `cut`, `come` is `accepting`, the pattern Ok(()) disables the branch.

--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -135,7 +135,7 @@
         own: own.clone(),
         seats: RefCell::default(),
         next: Cell::new(0),
-        come: Cell::new(true),
+        accepting: Cell::new(true),
     });
     let front = Rc::new(Front {
         in_force,
@@ -157,7 +157,7 @@
         .keep_alive(KeepAlive::Os)
         .client_request_timeout(Duration::ZERO)
         .client_disconnect_timeout(DRAIN)
-        // A client that closes has gone; `ClientState::over` sees that. Where actix-http did, bytes behind a request that
+        // A client that closes has gone; `ClientState::cut` sees that. Where actix-http did, bytes behind a request that
         // can't be read ended its connection too, and with it the request.
         .h1_allow_half_closed(true)
         .on_connect_ext(|io: &ClientIo, data| {
@@ -197,7 +197,7 @@
     drop(listener);
     // All permits are back when all connections have ended. Those that are back already are held here, which is no lack
     // of places: taken for one, it had requests closed that were still coming in.
-    clients.come.set(false);
+    clients.accepting.set(false);
     let _all = connections.acquire_many(most as u32).await?;
     sweeper.abort();
     Ok(())
@@ -215,7 +215,7 @@
     let stream = Rc::new(stream);
     let io = ClientIo { stream: stream.clone(), state: state.clone(), stage: stage.clone() };
     let mut connection = Box::pin(service.call((io, None)));
-    let over = loop {
+    let cut = loop {
         tokio::select! {
             biased;
             end = &mut connection => {
@@ -229,17 +229,17 @@
                 }
                 return;
             }
-            over = poll_fn(|cx| state.over(&stream, cx)) => break over,
+            cut = poll_fn(|cx| state.cut(&stream, cx)) => break cut,
             // Either polls the connection once more, which then sees that it is to close or may read on.
             () = state.wake.notified() => {}
-            _ = stage.changed() => {}
+            Ok(()) = stage.changed() => {}
         }
     };
     // With it goes the handler of its request, which tells the engine.
     drop(connection);
-    match over {
-        Over::Left => {}
-        Over::TooSlow => {
+    match cut {
+        Cut::Left => {}
+        Cut::TooSlow => {
             seldom!(front.malformed, info, "request not taken: it did not come whole in its time");
             let _ = timeout(FAREWELL, farewell(&stream)).await;
         }
@@ -248,7 +248,7 @@
 
 /// Why a connection is ended from here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Over {
+enum Cut {
     /// The client has gone, or does not read what it was answered.
     Left,
     /// Its request had not come whole in its time.
@@ -282,7 +282,7 @@
             }
             state.swept(now);
         }
-        if clients.come.get() && connections.available_permits() == 0 {
+        if clients.accepting.get() && connections.available_permits() == 0 {
             clients.make_room(now);
         }
     }
@@ -538,7 +538,7 @@
     /// What was read since the last sweep and dropped.
     dropped: Cell<usize>,
     /// It is to be ended from here.
-    ends: Cell<Option<Over>>,
+    ends: Cell<Option<Cut>>,
     /// What was written last did not fit: the client does not read.
     blocked: Cell<bool>,
     /// The body goes on to a server as it comes: its pace is the server's too.
@@ -580,7 +580,7 @@
 
     /// Ready when the connection is to be ended from here. While a request is in hand all that comes is read here, in
     /// whatever state actix-http is: the end of a client that has left stands behind what it sent.
-    fn over(&self, stream: &TcpStream, cx: &mut Context<'_>) -> Poll<Over> {
+    fn cut(&self, stream: &TcpStream, cx: &mut Context<'_>) -> Poll<Cut> {
         let mut came = [0; 4096];
         while self.ends.get().is_none() && self.phase.get() == Phase::InHand && self.dropped.get() < DROPPED {
             let read = match stream.poll_read_ready(cx) {
@@ -589,7 +589,7 @@
             };
             match read {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Ok(0) | Err(_) => self.ends.set(Some(Over::Left)),
+                Ok(0) | Err(_) => self.ends.set(Some(Cut::Left)),
                 Ok(n) => {
                     let mut ahead = self.ahead.borrow_mut();
                     if self.flooded.get() || ahead.len() + n > SURPLUS {
@@ -635,7 +635,7 @@
     /// A sweep has passed. What was to close and did not, as its client reads nothing, is ended.
     fn swept(&self, now: Instant) {
         if self.closing.get().is_some_and(|since| now - since >= DRAIN) {
-            self.ends.set(self.ends.get().or(Some(Over::Left)));
+            self.ends.set(self.ends.get().or(Some(Cut::Left)));
         }
         if self.dropped.replace(0) >= DROPPED || self.ends.get().is_some() {
             self.wake.notify_one();
@@ -663,7 +663,7 @@
     seats: RefCell<FxHashMap<u64, Rc<ClientState>>>,
     next: Cell<u64>,
     /// New ones are still taken: there is somebody to make room for.
-    come: Cell<bool>,
+    accepting: Cell<bool>,
 }
 
 impl Clients {
@@ -763,7 +763,7 @@
         let (this, before) = (self.get_mut(), buf.filled().len());
         let state = &this.state;
         match state.phase.get() {
-            // `ClientState::over` reads. Once the request is answered, `enter` has the connection polled again.
+            // `ClientState::cut` reads. Once the request is answered, `enter` has the connection polled again.
             Phase::InHand => return Poll::Pending,
             Phase::Draining if state.surplus.get() >= SURPLUS => return Poll::Ready(Ok(())),
             Phase::Silent | Phase::Reading | Phase::Body | Phase::Idle | Phase::Draining => {}
@@ -774,7 +774,7 @@
         match state.phase.get() {
             Phase::Silent | Phase::Idle if came > 0 => state.enter(Phase::Reading),
             // What has come of it may be on its way to a server.
-            Phase::Body if ended && state.uploads.get() => state.ends.set(Some(Over::Left)),
+            Phase::Body if ended && state.uploads.get() => state.ends.set(Some(Cut::Left)),
             Phase::Body | Phase::InHand | Phase::Draining => state.surplus.set(state.surplus.get() + came),
             Phase::Silent | Phase::Idle | Phase::Reading => {}
         }
@@ -790,7 +790,7 @@
             }
             // What crosses from here on finds an answer on its way.
             Phase::Reading | Phase::Body if closing && !state.blocked.get() => {
-                state.ends.set(Some(Over::TooSlow));
+                state.ends.set(Some(Cut::TooSlow));
                 Poll::Pending
             }
             Phase::Reading | Phase::Body | Phase::Draining if closing => Poll::Ready(Ok(())),
