--- a/crates/sidecar/tests/regression.rs
+++ b/crates/sidecar/tests/regression.rs
@@ -33,7 +33,7 @@
 fn any_broken_rule_crash_or_failed_gate_ends_it_with_one() {
     let well = "score of the real nodes 0.650\nGATE passed";
     for (odd, said, ends, verdict, told) in [
-        (STANDING, well, 0, 0, "standing               | score of the real nodes 0.650 | rules kept"),
+        (STANDING, well, 0, 0, "standing                 | score of the real nodes 0.650 | rules kept"),
         (
             STANDING,
             "score of the real nodes 0.650\nGATE failed: lost on join+mass",
@@ -54,6 +54,10 @@
         // The others are played all the same, each to its name.
         assert!(text.contains("== standing") && text.contains("== liga-ljubljana-later"), "{text}");
         assert!(text.contains("score ") && text.contains("--quick --why"), "{text}");
+        for panel in ["brink-liga-ljubljana-1", "brink-oulu-render-25", "perth-convert", "narva-desk"] {
+            assert!(text.contains(&format!("== {panel}\n")), "{panel}: {text}");
+        }
+        assert!(text.contains("narva-desk.toml --panel brink --seed 13 --why"), "{text}");
     }
 }
 
