--- a/crates/engine/tests/rules.rs
+++ b/crates/engine/tests/rules.rs
@@ -80,6 +80,12 @@
     copies: usize,
     /// The engine is not told of the limits that the auditor holds it to.
     planted: bool,
+    /// Clients leave often, and in the very moments in which something of their request is due.
+    leavers: bool,
+    /// The engine is not told that clients leave.
+    deaf: bool,
+    /// What was sent of the requests whose clients left.
+    left: BTreeMap<&'static str, usize>,
     next: u64,
 }
 
@@ -106,6 +112,9 @@
             faults: Vec::new(),
             copies: 0,
             planted: false,
+            leavers: false,
+            deaf: false,
+            left: BTreeMap::new(),
             next: 0,
         }
     }
@@ -123,7 +132,18 @@
     /// A client leaves: what of its request is still out is taken back, so that nothing of it begins any more.
     fn leaves(&mut self, id: u64) {
         let still: Vec<u32> = self.out.iter().filter(|o| o.request == id).map(|o| o.attempt.0).collect();
-        self.tell(Input::Gone(RequestId(id)));
+        let seen = self.seen.get_mut(&id).unwrap();
+        seen.gone = true;
+        let moment = match (seen.attempts.len(), still.len()) {
+            (0, _) => "nothing",
+            (1, _) => "its first attempt",
+            (_, 0 | 1) => "a further attempt",
+            _ => "two attempts at a time",
+        };
+        *self.left.entry(moment).or_default() += 1;
+        if !self.deaf {
+            self.tell(Input::Gone(RequestId(id)));
+        }
         for attempt in still {
             if !self.withdrawn.contains(&(id, attempt)) {
                 self.fault(format!("request {id}: attempt {attempt} goes on without its client"));
@@ -131,6 +151,18 @@
         }
     }
 
+    /// Where clients leave often, this one may, or any of those that wait.
+    fn may_leave(&mut self, id: Option<u64>) {
+        if !self.leavers || !self.rng.random_bool(0.15) {
+            return;
+        }
+        let waits = |s: &Seen| s.answers == 0 && !s.gone;
+        let waiting: Vec<u64> = self.seen.iter().filter(|(_, s)| waits(s)).map(|(id, _)| *id).collect();
+        let any = waiting.get(self.rng.random_range(0..waiting.len().max(1))).copied();
+        let leaves = id.map_or(any, |id| waiting.contains(&id).then_some(id));
+        leaves.into_iter().for_each(|id| self.leaves(id));
+    }
+
     fn wake(&mut self) {
         let mut out = Vec::new();
         self.engine.wake(Time(self.now), &mut out);
@@ -198,9 +230,12 @@
         let (now, site) = (self.now, &self.site);
         let mut faults = Vec::new();
         let seen = self.seen.get_mut(&id).unwrap();
-        if seen.answers > 0 || seen.gone {
+        if seen.answers > 0 {
             faults.push("sent after its answer".to_owned());
         }
+        if seen.gone {
+            faults.push("sent after its client left".to_owned());
+        }
         let out = seen.attempts.iter().filter(|(.., ended)| ended.is_none()).count();
         if out > usize::from(site.settings.limits.second_copies) {
             faults.push(format!("{} attempts at a time", out + 1));
@@ -294,6 +329,7 @@
         let ask = Ask { class, tenant: 0, wait, hint, key: None, repeat: false, rule };
         self.tell(Input::Request { id: RequestId(id), ask, received: Time(self.now), payload: id });
         self.caps();
+        self.may_leave(Some(id));
     }
 
     /// What is in hand of each route, counted from answers alone.
@@ -329,7 +365,6 @@
             let leaves = leaves.min().filter(|(at, _)| *at < next.min(end));
             if let Some((at, id)) = leaves {
                 self.now = at.max(self.now);
-                self.seen.get_mut(&id).unwrap().gone = true;
                 self.fault(format!("request {id} had no answer in time"));
                 self.leaves(id);
                 continue;
@@ -339,7 +374,10 @@
                 return;
             }
             self.now = next;
+            self.may_leave(None);
             self.wake();
+            let ends = self.out.iter().find(|o| o.ends <= next).map(|o| o.request);
+            ends.into_iter().for_each(|id| self.may_leave(Some(id)));
             if let Some(n) = self.out.iter().position(|o| o.ends <= next) {
                 let Out { request, attempt, server, status, .. } = self.out.remove(n);
                 let seen = self.seen.get_mut(&request).unwrap();
@@ -390,7 +428,6 @@
             5 => {
                 let open = self.seen.iter().filter(|(_, s)| s.answers == 0 && !s.gone).map(|(id, _)| *id);
                 if let Some(id) = open.max() {
-                    self.seen.get_mut(&id).unwrap().gone = true;
                     self.leaves(id);
                 }
             }
@@ -404,6 +441,12 @@
 }
 
 fn play(mut world: World) -> (Vec<String>, usize, usize, usize) {
+    whole_day(&mut world);
+    let served = world.seen.values().filter(|s| s.attempts.iter().any(|a| a.2 == Some(Status::Ok))).count();
+    (world.faults, served, world.seen.len(), world.copies)
+}
+
+fn whole_day(world: &mut World) {
     for n in 0..5 {
         world.listed.insert(format!("s{}", "x".repeat(n)), (State::Ready, 0));
     }
@@ -427,8 +470,6 @@
     if unanswered > 0 {
         world.fault(format!("{unanswered} requests wait for ever"));
     }
-    let served = world.seen.values().filter(|s| s.attempts.iter().any(|a| a.2 == Some(Status::Ok))).count();
-    (world.faults, served, world.seen.len(), world.copies)
 }
 
 #[test]
@@ -456,3 +497,28 @@
 fn the_same_seed_gives_the_same_day() {
     assert_eq!(day(7), day(7));
 }
+
+/// A client that has gone: nothing of its request begins any more, whatever was out, held or due of it.
+#[test]
+fn nothing_of_a_request_is_sent_once_its_client_has_left() {
+    let mut left: BTreeMap<&str, usize> = BTreeMap::new();
+    for seed in 0..200 {
+        let mut world = World { leavers: true, ..World::new(seed) };
+        whole_day(&mut world);
+        assert!(world.faults.is_empty(), "seed {seed}: {:#?}", world.faults);
+        world.left.into_iter().for_each(|(moment, count)| *left.entry(moment).or_default() += count);
+    }
+    for moment in ["nothing", "its first attempt", "a further attempt", "two attempts at a time"] {
+        let count = left.get(moment).copied().unwrap_or_default();
+        assert!(count >= 100, "only {count} left when {moment} was sent: {left:?}");
+    }
+}
+
+#[test]
+fn the_auditor_finds_an_engine_that_is_not_told_that_clients_left() {
+    let deaf = |seed| World { leavers: true, deaf: true, ..World::new(seed) };
+    let faults: Vec<String> = (0..20).flat_map(|seed| play(deaf(seed)).0).collect();
+    for what in ["sent after its client left", "goes on without its client"] {
+        assert!(faults.iter().any(|fault| fault.contains(what)), "'{what}' is not found");
+    }
+}
