--- a/crates/fleet/src/audit.rs
+++ b/crates/fleet/src/audit.rs
@@ -1,5 +1,6 @@
-//! The four rules, from what nodes and callers saw alone. It knows nothing of the code under test.
+//! The rules, from what nodes and callers saw alone. It knows nothing of the code under test.
 
+use crate::cold::{Came, Watched};
 use crate::node::Job;
 use crate::scenario::GRACE;
 use dunlincleat::api::Effect;
@@ -54,6 +55,7 @@
     requests: FxHashMap<u64, Request>,
     /// When an instance was told that a node, with this start, leaves.
     told: FxHashMap<(u32, usize, u32), u64>,
+    cold: Watched,
     faults: Vec<Fault>,
     counts: BTreeMap<&'static str, u64>,
 }
@@ -121,6 +123,7 @@
 
     /// The list told an instance of a node.
     pub fn told(&mut self, instance: u32, node: usize, start: u32, leaves: bool, now: u64) {
+        self.cold.told(instance, node, start);
         if leaves {
             self.told.entry((instance, node, start)).or_insert(now);
         } else {
@@ -128,6 +131,11 @@
         }
     }
 
+    /// An instance knew of a node's start from its own first moment.
+    pub fn knew(&mut self, instance: u32, node: usize, start: u32) {
+        self.cold.told(instance, node, start);
+    }
+
     /// An instance sent an attempt.
     pub fn sent(&mut self, job: Job, node: usize, start: u32, now: u64) {
         let told = self.told.get(&(job.instance, node, start)).copied();
@@ -168,11 +176,38 @@
         }
     }
 
-    /// A cold node was pushed over.
+    /// A cold node got more than its budget, with nothing put down to chance and whoever had been told.
     pub fn fell(&mut self, node: usize, now: u64) {
         self.fault("cold nodes", now, format!("node {node} was pushed over"));
     }
 
+    /// An attempt came to a cold node, with this start, that may get `budget` requests of mean work within `over`
+    /// microseconds; `calls` is its own work over the mean. The rule is on the sum of what all instances send.
+    pub fn came_cold(
+        &mut self,
+        job: Job,
+        (node, start): (usize, u32),
+        calls: f64,
+        (budget, over): (f64, u64),
+        now: u64,
+    ) {
+        let Some(came) = self.cold.came(job.instance, (node, start), calls, (budget, over), now) else {
+            return;
+        };
+        let (Came { calls, told, budget }, most) = (came, came.calls - came.excess());
+        let what = format!(
+            "node {node}, start {start}: {calls:.1} requests on a budget of {budget:.1}, which bears {most:.1}; \
+             {told:.1} from instances that had been told of the start"
+        );
+        self.fault("cold budget", now, what);
+    }
+
+    /// What came nearest to a cold node's limit, or went furthest beyond.
+    #[must_use]
+    pub fn cold_peak(&self) -> Option<Came> {
+        self.cold.peak()
+    }
+
     /// What was found: how often each rule was broken, and the first cases.
     #[must_use]
     pub fn found(self) -> (BTreeMap<&'static str, u64>, Vec<Fault>) {
--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -98,6 +98,11 @@
         Listing { rev: self.rev, whole: true, entries, passed_over: Vec::new() }
     }
 
+    /// The nodes that it lists, each with which of its processes.
+    pub fn starts(&self) -> impl Iterator<Item = (usize, u32)> + '_ {
+        self.now.values().map(|word| (word.node, word.starts))
+    }
+
     /// Calls taken since the last time, and those of them that were turned away.
     pub fn take_calls(&mut self) -> (u64, u64) {
         (std::mem::take(&mut self.calls), std::mem::take(&mut self.refused))
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,7 +3,7 @@
 //! nodes and callers saw tells broken rules. Figures from here are simulated.
 //!
 //! [`scenario`] is read from TOML, in which [`draw`] puts a seed's numbers for ranges; [`node`] is one node, [`links`] all
-//! connections, [`discovery`] the service that lists, [`plan`] the time line of faults, [`world`] the clock and all that
+//! connections, [`discovery`] the service that lists, [`cold`] the budget of a node that starts, [`plan`] the time line of faults, [`world`] the clock and all that
 //! happens, [`audit`] the rules, [`report`] what is told of a day; [`balancing`] what is under test: the engine,
 //! [`baseline`] policies for comparison, or a [`mutant`] that must be caught.
 
@@ -12,6 +12,7 @@
 pub mod audit;
 pub mod balancing;
 pub mod baseline;
+pub mod cold;
 pub mod discovery;
 pub mod draw;
 pub mod links;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -67,7 +67,11 @@
     /// Work that came while it was cold: when, and how much.
     came: VecDeque<(u64, f64)>,
     came_sum: f64,
-    /// It was pushed over.
+    /// The mean work of a request; with it a fall takes more than the budget and what is put down to chance.
+    mean: f64,
+    /// It got more than its budget, and it fell over.
+    pub over_budget: bool,
+    /// The same.
     pub fell: bool,
     /// The most that came while it was cold, against what pushes it over.
     pub worst: f64,
@@ -92,11 +96,20 @@
             waiting: VecDeque::new(),
             came: VecDeque::new(),
             came_sum: 0.0,
+            mean: 0.0,
+            over_budget: false,
             fell: false,
             worst: 0.0,
         }
     }
 
+    /// The same node for requests of so much mean work, in microseconds. Where that is not told, a cold node falls with the
+    /// first work beyond its budget.
+    #[must_use]
+    pub fn of_mean_work(self, mean: f64) -> Node {
+        Node { mean, ..self }
+    }
+
     /// The part of its work that it can do.
     #[must_use]
     pub fn warmth(&self, now: u64) -> f64 {
@@ -121,7 +134,8 @@
     pub fn restart(&mut self, now: u64) -> Vec<Job> {
         self.born = Some(now);
         self.mood = Mood::Serves;
-        (self.slow, self.still, self.fell) = (1.0, 0, false);
+        (self.slow, self.still) = (1.0, 0);
+        (self.over_budget, self.fell) = (false, false);
         self.clear()
     }
 
@@ -151,9 +165,14 @@
             Mood::Fails => return Taken::Fails,
             Mood::Serves => {}
         }
-        if self.overrun(now, work) {
-            self.fell = true;
-            return Taken::Refused;
+        if let Some(bears) = self.overrun(now, work) {
+            self.over_budget = true;
+            let mean = self.mean;
+            let most = if mean > 0.0 { mean * crate::cold::limit(bears / mean) } else { bears };
+            self.fell = self.came_sum > most;
+            if self.fell {
+                return Taken::Refused;
+            }
         }
         if self.busy.len() < self.cores {
             self.busy.push(job);
@@ -166,9 +185,9 @@
         }
     }
 
-    /// Whether a cold node has come to more than it bears over its time.
-    fn overrun(&mut self, now: u64, work: f64) -> bool {
-        let Some(born) = self.born.filter(|born| now < born + self.cold) else { return false };
+    /// The work that a cold node bears over its time, where it has come to more.
+    fn overrun(&mut self, now: u64, work: f64) -> Option<f64> {
+        let born = self.born.filter(|born| now < born + self.cold)?;
         self.came.push_back((now, work));
         self.came_sum += work;
         while let Some((at, work)) = self.came.front().copied().filter(|(at, _)| at + self.falls_over <= now)
@@ -181,7 +200,7 @@
         if now >= born {
             self.worst = self.worst.max(self.came_sum / bears);
         }
-        now >= born && self.came_sum > bears
+        (now >= born && self.came_sum > bears).then_some(bears)
     }
 
     /// A request ended or was given up. Gives the one that is begun in its place and when it ends.
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -1,6 +1,7 @@
 //! A day's result: what was wanted and what became of it, by second and by cause, and what it cost over the whole fleet.
 
 use crate::audit::Fault as Broken;
+use crate::cold::Came;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -116,6 +117,10 @@
     pub recovery_s: Option<f64>,
     /// The most that a cold node was sent, against what pushes it over.
     pub worst_cold: f64,
+    /// What came nearest to the limit of a cold node over all instances, or went furthest beyond, of what instances that
+    /// had been told of its start answer for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_peak: Option<Came>,
     /// The most connections at one node.
     pub most_connections: usize,
     /// The most requests that one instance held.
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -8,6 +8,7 @@
 use crate::audit::{Auditor, Kind};
 use crate::balancing::{Balancing, In, Out};
 use crate::baseline::{Baseline, Choice};
+use crate::cold::Terms as ColdTerms;
 use crate::discovery::{Answered, Line, Service, Word};
 use crate::links::{Got, Links, Terms};
 use crate::mutant::{Mutant, Plant};
@@ -212,6 +213,8 @@
     flights: FxHashMap<Job, Flight>,
     links: Links,
     service: Service,
+    cold: ColdTerms,
+    mean_work: f64,
     zones_lost: Vec<bool>,
     /// Ways cut, from instances of a zone to nodes of one.
     cut: Vec<Vec<bool>>,
@@ -336,7 +339,7 @@
         let zones = fleet.zones.len();
         let mut rng = SmallRng::seed_from_u64(seed);
         let place = |n: usize| Place {
-            node: Node::new(fleet),
+            node: Node::new(fleet).of_mean_work(scenario.mean_work()),
             zone: n % zones,
             starts: 0,
             uid: n as u32,
@@ -367,6 +370,8 @@
             requests: FxHashMap::default(),
             flights: FxHashMap::default(),
             service,
+            cold: scenario.cold_terms(),
+            mean_work: scenario.mean_work(),
             zones_lost: vec![false; zones],
             cut: vec![vec![false; zones]; zones],
             rate: scenario.rate(),
@@ -602,6 +607,7 @@
         }
         losses.values_mut().for_each(|worth| *worth = of_worth(*worth));
         let minutes = lasts as f64 / 60e6 * self.callers.len() as f64;
+        let cold_peak = self.auditor.cold_peak();
         let (broken, cases) = self.auditor.found();
         let mark = |fault: &Fault| {
             let (from, to) = fault.span();
@@ -636,6 +642,7 @@
             p99_ms: times.value_at_quantile(0.99) as f64 / 1e3,
             recovery_s: recovery(&played, self.scenario.troubled(), lasts),
             worst_cold: self.places.iter().map(|place| place.node.worst).fold(0.0, f64::max),
+            cold_peak,
             most_connections: self.links.most_at_one(),
             held: self.tally.held,
             losses,
--- a/crates/fleet/src/world/instances.rs
+++ b/crates/fleet/src/world/instances.rs
@@ -18,7 +18,9 @@
         let balancing: Box<dyn Balancing> = match self.policy {
             Policy::Module | Policy::Without(_) => Box::new(engine()),
             Policy::Baseline(choice) => Box::new(Baseline::new(choice, &site, seed)),
-            Policy::Mutant(plant) => Box::new(Mutant::new(engine(), plant)),
+            // What one instance takes for itself shows beside others that keep to their part.
+            Policy::Mutant(Plant::TakesBudget) if caller > 0 => Box::new(engine()),
+            Policy::Mutant(plant) => Box::new(Mutant::new(engine(), plant, self.scenario.cold_terms())),
         };
         let mut figures = Figures::derive(HEARTBEAT, TOLD_WITHIN, GRACE);
         if self.policy == Policy::Without(Part::Turns) {
@@ -33,6 +35,9 @@
         let instance = Instance { caller, zone, balancing, follower, servers, wakes, follows, in_hand: 0 };
         self.instances.insert(number, instance);
         self.callers[caller as usize].instance = Some(number);
+        for (node, start) in self.service.starts() {
+            self.auditor.knew(number, node, start);
+        }
         self.tell(number, Input::Listed(delivery));
         self.follow(number, None);
         Ok(())
--- a/crates/fleet/src/world/nodes.rs
+++ b/crates/fleet/src/world/nodes.rs
@@ -155,7 +155,20 @@
         self.tally.second(self.now, nodes).arrived[node] += 1;
         let work = self.requests.get(&job.request).map_or(1.0, |request| request.asked.work);
         let work = work + self.scenario.fleet.handshake.filter(|_| new).map_or(0.0, |cost| cost.us() as f64);
-        match self.places[node].node.take(self.now, job, work) {
+        let serves = self.places[node].node.mood == Mood::Serves;
+        if let Some(born) = self.places[node].node.born.filter(|_| serves) {
+            let (terms, age) = (self.cold, self.now - born);
+            if age < terms.cold {
+                let (calls, budget) = (work / self.mean_work, terms.budget(age));
+                self.auditor.came_cold(job, (node, starts), calls, (budget, terms.over), self.now);
+            }
+        }
+        let within = !self.places[node].node.over_budget;
+        let taken = self.places[node].node.take(self.now, job, work);
+        if within && self.places[node].node.over_budget {
+            self.auditor.fell(node, self.now);
+        }
+        match taken {
             Taken::Works(ends) => {
                 self.auditor.began(job, self.now);
                 self.at(ends, Event::Done(job, node, starts));
@@ -174,7 +187,6 @@
             Taken::Refused => {
                 self.at(back, Event::Back(job, Status::ConnectFailed));
                 if self.places[node].node.fell && self.places[node].node.mood != Mood::Dead {
-                    self.auditor.fell(node, self.now);
                     self.down(node);
                 }
             }
--- a/crates/fleet/tests/days.rs
+++ b/crates/fleet/tests/days.rs
@@ -66,12 +66,14 @@
     let deploy = scenario("rolling-deploy");
     let death = scenario("mass-death");
     let busy = scenario("burst");
+    let cold = scenario("cold-hot-caller");
     for plant in Plant::ALL {
         let (day, rule) = match plant {
             Plant::SendsTwice => (&deploy, "one attempt"),
             Plant::AnswersTwice | Plant::LosesRequests => (&deploy, "one answer"),
             Plant::IgnoresDrains => (&deploy, "drains"),
             Plant::FloodsCold => (&death, "cold nodes"),
+            Plant::TakesBudget => (&cold, "cold budget"),
             Plant::DelaysRefusals => (&busy, "not held back"),
         };
         // What a mutant floods is also shed: one day in five may show nothing.
