Tests of 23 files under src move to test files; two circles of files go; a glossary

Need: tests live in test files, names are the field's. Change: each mod tests { .. } at the end of a file under src becomes mod tests; beside it, by a script that only cut, dedented and formatted: 43 tests before, 43 after, no assertion changed. Duties' Plant has a file of its own (machine and voter named each other), limits' sections as written stand with the file (file and fleet named each other). docs/design.md has the words and the field's terms; renames are taken as code is touched.

--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -20,6 +20,8 @@
 #![forbid(unsafe_code)]
 
 pub mod machine;
+#[cfg(feature = "plant")]
+pub mod plant;
 pub mod voter;
 pub mod words;
 
--- a/crates/duties/src/machine.rs
+++ b/crates/duties/src/machine.rs
@@ -1,6 +1,8 @@
 //! A member: its part in each duty, as candidate and as holder, and its voter where it is one. It owns all of it; a shell
 //! carries messages, wakes it, and carries out effects under the [`Held`](crate::Output::Run) value that it is given.
 
+#[cfg(feature = "plant")]
+use crate::plant::Plant;
 use crate::voter::{Asker, Told, Voter};
 use crate::words::{Fence, Mark, Message, Moment, Terms};
 use rustc_hash::FxHasher;
@@ -12,27 +14,6 @@
 /// How often one that a duty was handed to asks again at once.
 const HANDED: u8 = 8;
 
-/// Faults that the tests must find.
-#[cfg(feature = "plant")]
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub enum Plant {
-    /// None.
-    #[default]
-    None,
-    /// The lease is counted from its answers.
-    LeaseFromAnswer,
-    /// A voter that lost its memory votes at once.
-    VotesAtOnce,
-    /// A majority of those that answered is enough.
-    MajorityOfTheLiving,
-    /// A holder lets go without stopping.
-    ReleaseWithoutStopping,
-    /// A period that the one before began is run again.
-    PeriodAgain,
-    /// A fence is drawn without regard to those before.
-    FenceAnew,
-}
-
 /// An effect on a schedule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Effect {
--- a/crates/duties/src/voter.rs
+++ b/crates/duties/src/voter.rs
@@ -84,8 +84,8 @@
     }
 
     #[cfg(feature = "plant")]
-    pub(crate) fn plant(&mut self, plant: crate::machine::Plant) {
-        if plant == crate::machine::Plant::VotesAtOnce {
+    pub(crate) fn plant(&mut self, plant: crate::plant::Plant) {
+        if plant == crate::plant::Plant::VotesAtOnce {
             self.memory = Memory::Whole;
         }
     }
--- a/crates/duties/tests/days.rs
+++ b/crates/duties/tests/days.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use dunlincleat_duties::machine::Plant;
+use dunlincleat_duties::plant::Plant;
 use dunlincleat_duties::{Fence, Input};
 
 /// Safety on every seed; and once the faults are over the duty is held again within a bound and its periods go on.
--- a/crates/duties/tests/explore.rs
+++ b/crates/duties/tests/explore.rs
@@ -2,7 +2,7 @@
 //! a message lost, doubled, or delivered later; a process that stands still, or dies and returns without its memory. Known
 //! as delay-bounded exploration (Emmi, Qadeer, Rakamaric, POPL 2011): complete for its bound, in discrete time.
 
-use dunlincleat_duties::machine::Plant;
+use dunlincleat_duties::plant::Plant;
 use dunlincleat_duties::{Datagram, Effect, Fence, Input, Member, Moment, Notice, Output, Terms, To};
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeSet, HashSet};
--- a/crates/dutyshell/src/lib.rs
+++ b/crates/dutyshell/src/lib.rs
@@ -302,7 +302,7 @@
 /// A fault that a test plants in the program itself.
 #[cfg(feature = "plant")]
 fn planted(member: Member) -> Member {
-    use dunlincleat_duties::machine::Plant;
+    use dunlincleat_duties::plant::Plant;
     let plant = match std::env::var("EDGE_PLANT").unwrap_or_default().as_str() {
         "lease-from-answer" => Plant::LeaseFromAnswer,
         "votes-at-once" => Plant::VotesAtOnce,
--- /dev/null
+++ b/crates/http/src/peer/tests.rs
@@ -0,0 +1,33 @@
+//! Tests of `peer.rs`.
+
+use super::*;
+
+fn io(error: io::Error) -> SendRequestError {
+    SendRequestError::Send(error)
+}
+
+#[test]
+fn a_write_that_failed_was_not_whole_and_never_ran() {
+    assert_eq!(failure(io(io::ErrorKind::ConnectionReset.into())), Status::ConnectFailed);
+    assert_eq!(failure(io(io::ErrorKind::BrokenPipe.into())), Status::ConnectFailed);
+}
+
+#[test]
+fn what_was_not_sent_for_reasons_of_our_own_is_no_fault_of_the_servers() {
+    assert_eq!(failure(io(io::Error::other(Unsent("x")))), Status::Moot);
+    for code in [EMFILE, ENFILE, EADDRNOTAVAIL] {
+        let error = awc::error::ConnectError::Io(io::Error::from_raw_os_error(code));
+        assert_eq!(failure(SendRequestError::Connect(error)), Status::Moot);
+    }
+    let refused = awc::error::ConnectError::Io(io::ErrorKind::ConnectionRefused.into());
+    assert_eq!(failure(SendRequestError::Connect(refused)), Status::ConnectFailed);
+}
+
+#[test]
+fn in_doubt_it_may_have_run() {
+    let ended = SendRequestError::Connect(awc::error::ConnectError::Disconnected);
+    assert_eq!(failure(ended), Status::Reset);
+    let garbled = SendRequestError::Response(actix_http::error::ParseError::Header);
+    assert_eq!(failure(garbled), Status::Reset);
+    assert_eq!(failure(SendRequestError::Timeout), Status::Reset);
+}
--- a/crates/http/src/written.rs
+++ b/crates/http/src/written.rs
@@ -53,27 +53,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards the count of attempts: one that broke off before its last byte never ran and is none.
-    #[test]
-    fn an_attempt_counts_once_with_its_last_byte_in_whatever_pieces() {
-        let head = "POST /x HTTP/1.1\r\nA: \rb\r\n\r\n";
-        for (body, told) in [("", true), ("body\r\n\r\nmore", true), ("1\r\nx\r\n0\r\n\r\n", false)] {
-            let bytes = format!("{head}{body}");
-            for piece in 1..bytes.len() {
-                let mut written = Written::new(told.then_some(body.len() as u64));
-                let (last, before) = bytes.as_bytes().split_last().unwrap();
-                assert!(before.chunks(piece).all(|part| !written.more(part, true)), "{piece}");
-                assert!(written.more(&[*last], true));
-                assert!(!written.more(b"x", true) && written.whole(), "once");
-            }
-        }
-        let mut written = Written::new(None);
-        assert!(
-            !written.more(format!("{head}0\r\n\r\n").as_bytes(), false),
-            "bytes of a chunk may look like its end"
-        );
-    }
-}
+mod tests;
--- a/crates/limits/src/file.rs
+++ b/crates/limits/src/file.rs
@@ -2,7 +2,6 @@
 //! reading goes on, so that all faults of a file are told.
 
 use crate::codes::Code;
-use crate::fleet::{DutySection, FleetSection};
 use dunlincleat::api::Span;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -174,6 +173,34 @@
     pub duties: Vec<DutySection>,
 }
 
+/// `[fleet]` as written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetSection {
+    /// The fleet's name.
+    pub name: At<String>,
+    /// Where members are heard, by UDP.
+    pub listen: Option<At<String>>,
+    /// How long a lease is.
+    pub lease: Option<At<Span>>,
+    /// By what part clocks may run off.
+    pub drift: Option<At<f64>>,
+    /// The voters: names and where they are reached.
+    pub voters: Vec<(At<String>, Option<At<String>>)>,
+}
+
+/// `[[duty]]` as written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DutySection {
+    /// Its name.
+    pub name: At<String>,
+    /// The path that is called.
+    pub path: Option<At<String>>,
+    /// How often.
+    pub period: Option<At<Span>>,
+    /// What becomes of missed periods.
+    pub missed: Option<At<String>>,
+}
+
 /// Collects faults with their places in the text.
 #[derive(Debug)]
 pub struct Faults<'a> {
--- a/crates/limits/src/fleet.rs
+++ b/crates/limits/src/fleet.rs
@@ -1,39 +1,11 @@
 //! Stage: what the operator's file says of the fleet and its duties, read and proved. Without `[fleet]` there is none of it.
 
 use crate::codes::Code;
-use crate::file::{At, Faults, File, written};
+use crate::file::{At, DutySection, Faults, File, written};
 use dunlincleat::api::{Effect, Span};
 use dunlincleat_settings::Site;
 use std::net::SocketAddr;
 
-/// `[fleet]` as written.
-#[derive(Clone, Debug, PartialEq)]
-pub struct FleetSection {
-    /// The fleet's name.
-    pub name: At<String>,
-    /// Where members are heard, by UDP.
-    pub listen: Option<At<String>>,
-    /// How long a lease is.
-    pub lease: Option<At<Span>>,
-    /// By what part clocks may run off.
-    pub drift: Option<At<f64>>,
-    /// The voters: names and where they are reached.
-    pub voters: Vec<(At<String>, Option<At<String>>)>,
-}
-
-/// `[[duty]]` as written.
-#[derive(Clone, Debug, PartialEq)]
-pub struct DutySection {
-    /// Its name.
-    pub name: At<String>,
-    /// The path that is called.
-    pub path: Option<At<String>>,
-    /// How often.
-    pub period: Option<At<Span>>,
-    /// What becomes of missed periods.
-    pub missed: Option<At<String>>,
-}
-
 /// The fleet, proved.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fleet {
--- /dev/null
+++ b/crates/settings/src/tests.rs
@@ -0,0 +1,59 @@
+//! Tests of `lib.rs`.
+
+use super::*;
+
+const EXAMPLE: &str = r#"{"balancers":2,"me":1,"locality":1,"zones":["a","b"],"new":1,
+    "classes":[{"name":"pay","aim":300000,"deadline":740000,"gain":10.0,"semantics":"dedup","group":"all",
+                "window":7500000}],
+    "tenants":[{"name":"acme","share":0.2,"quota_per_s":26.0}],
+    "stats":{"fields":["inflight","latency_ms"],"how":"inline"},
+    "limits":{"conn_idle":5000000,"max_open":40000,"try_limit":6},
+    "safety":{"drain_grace":1000000,"cold":8600000}}"#;
+
+#[test]
+fn names_and_limits_for_the_host_stand_beside_the_modules_settings() -> Result<()> {
+    for site in [read(EXAMPLE)?, read_value(serde_json::from_str(EXAMPLE)?)?] {
+        assert_eq!((site.classes, site.tenants), (vec!["pay".to_owned()], vec!["acme".to_owned()]));
+        assert_eq!((site.zones.len(), site.fields.len()), (2, 2));
+        assert_eq!((site.conn_idle, site.max_open), (Some(Span(5_000_000)), Some(40_000)));
+        assert_eq!(site.drain_grace, Some(Span(1_000_000)));
+        assert_eq!((site.settings.me, site.settings.zone), (1, 1));
+        assert_eq!(site.settings.fields, [Field::Inflight, Field::Other]);
+        let effect = Effect::Keyed { group: Group::All, window: Span(7_500_000) };
+        assert_eq!(site.settings.classes[0].effect, effect);
+    }
+    Ok(())
+}
+
+#[test]
+fn a_fault_is_named() {
+    let fault = |from: &str, to: &str| format!("{:#}", read(&EXAMPLE.replace(from, to)).unwrap_err());
+    assert!(fault("dedup", "odd").contains("unknown semantics 'odd'"));
+    assert!(fault("\"all\"", "\"some\"").contains("unknown group Some(\"some\")"));
+    assert!(fault("inline", "aloud").contains("unknown stats.how 'aloud'"));
+    assert!(fault("\"aim\"", "\"goal\"").contains("missing field `aim`"));
+    for (text, told) in [
+        (r#""weight_source":"odd""#, r#"weight_source: "odd" is none of "off", "nominal""#),
+        (r#""weight_source":3"#, "weight_source: 3 is none of"),
+        (r#""family_info":{"warm_keys":1}"#, "family_info.warm_keys: 1 is neither true nor false"),
+        (r#""objective_mix":{"tail_part":-0.1}"#, "objective_mix.tail_part: -0.1 is no number from 0 to 1"),
+        (r#""objective_mix":{"borne_misses":1.5}"#, "objective_mix.borne_misses: 1.5 is no number"),
+        (r#""objective_mix":{"borne_misses":"few"}"#, r#"objective_mix.borne_misses: "few" is no number"#),
+    ] {
+        let said = fault("\"me\":1", &format!("\"me\":1,{text}"));
+        assert!(said.contains(told), "{said}");
+    }
+    let told = r#""me":1,"weight_source":"live","family_info":{"warm_keys":true},
+        "objective_mix":{"tail_part":0.3,"borne_misses":0.01}"#;
+    let told = read(&EXAMPLE.replace("\"me\":1", told)).unwrap().settings;
+    assert_eq!((told.weights, told.warm_keys), (Weights::Live, true));
+    assert_eq!(told.tail, Tail { part: 0.3, borne: 0.01 });
+    let left_out = read(EXAMPLE).unwrap().settings;
+    assert_eq!((left_out.weights, left_out.warm_keys), (Weights::Off, false));
+    assert_eq!(left_out.tail, Tail::default());
+    let price = |text: &str| fault("\"me\":1", &format!("\"me\":1,\"deductions\":{{\"handshake\":{text}}}"));
+    assert!(price("-0.1").contains("deductions.handshake: -0.1 is negative"));
+    assert!(price("\"dear\"").contains("deductions.handshake: \"dear\" is no number"));
+    assert!(price("null").contains("deductions.handshake: null is no number"));
+    assert_eq!(read(EXAMPLE).unwrap().settings.prices.handshake, 0.0);
+}
