A lower limit of the machine on open files binds clients: the list keeps its descriptors

Cause: places were counted by limits.sockets alone. Change: the lower of limits.sockets and the process's soft limit (/proc/self/limits; by a raw system call a filter's refusal could not be told from a figure) is what is shared out; a warning names both, and a start that leaves no room names which of them binds. Config::parse has the limit as an argument; the one call in its tests passes none, no assertion changed. New: descriptors.rs, idle clients (silent, half a head, asked once) at the bound and beyond it while discovery refuses or hangs; at its return it is asked within two thirds of the grace, its drain is acted on within the grace, what was held is served, a new server is reached, the console answers throughout, and never more descriptors are held than may be; the same under ulimit -n at and below limits.sockets.

--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -53,6 +53,8 @@
     pub limits_file: Option<PathBuf>,
     /// Settings that are only watched: how they would have decided is counted.
     pub watch: Option<Settings>,
+    /// The descriptors that it was told and those that the machine lets it have, where these are fewer.
+    pub lowered: Option<(usize, usize)>,
     /// What is taken up only at a start, by key, to tell where a new file differs in it.
     fixed: Vec<(&'static str, Option<Value>)>,
     /// The file as it was read.
@@ -113,13 +115,14 @@
     fn load(discovery: First) -> Result<Config> {
         let path = env("EDGE_CONFIG")?.context("EDGE_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path).with_context(|| format!("EDGE_CONFIG: '{path}'"))?;
-        Config::parse(&text, discovery, env)
+        Config::parse(&text, discovery, env, machine_descriptors())
     }
 
     fn parse(
         text: &str,
         discovery_by: First,
         env: impl Fn(&'static str) -> Result<Option<String>>,
+        machine: Option<usize>,
     ) -> Result<Config> {
         let value: Value = serde_json::from_str(text).context("EDGE_CONFIG: not JSON")?;
         let told = value.clone();
@@ -192,6 +195,7 @@
             None | Some(Value::Null) => Limits::default(),
             Some(limits) => serde_json::from_value(limits).context("EDGE_CONFIG: limits")?,
         };
+        let lowered = machine.filter(|machine| *machine < limits.sockets).map(|to| (limits.sockets, to));
         let limits_file = match (env("EDGE_LIMITS")?, file.remove("limits_file")) {
             (Some(path), _) => Some(PathBuf::from(path)),
             (None, None | Some(Value::Null)) => None,
@@ -204,7 +208,7 @@
             Some(_) => bail!("EDGE_CONFIG: sidecar: not an object"),
         };
         let Told { own, log, form, accept_after_term, end_after_term } =
-            Told::read(&own, &limits, &site, console.map_or(0, |_| CONSOLE_KEPT))?;
+            Told::read(&own, &limits, lowered, &site, console.map_or(0, |_| CONSOLE_KEPT))?;
         let (own, site) = (Rc::new(own), Arc::new(site));
         Ok(Config {
             name,
@@ -221,6 +225,7 @@
             end_after_term,
             limits_file,
             watch,
+            lowered,
             fixed,
             told,
         })
@@ -250,8 +255,20 @@
 }
 
 impl Told {
-    fn read(own: &Map<String, Value>, limits: &Limits, site: &Site, console: usize) -> Result<Told> {
+    fn read(
+        own: &Map<String, Value>,
+        limits: &Limits,
+        lowered: Option<(usize, usize)>,
+        site: &Site,
+        console: usize,
+    ) -> Result<Told> {
         let kept = DESCRIPTORS_KEPT + console;
+        // Guards discovery and the console: by the told number alone, clients took the last descriptor of a machine that
+        // gives fewer, and no watch could be opened any more.
+        let (sockets, whose) = match lowered {
+            Some((_, machine)) => (machine, "the machine's limit on open files, lower than limits.sockets"),
+            None => (limits.sockets, "limits.sockets"),
+        };
         let number = |key: &str, default: u64, least: u64| -> Result<u64> {
             let value = match own.get(key) {
                 None => default,
@@ -275,17 +292,16 @@
             Some(other) => bail!("EDGE_CONFIG: sidecar.log_form: '{other}' is neither text nor json"),
         };
         // Half of the descriptors for each side.
-        let half = (limits.sockets.saturating_sub(kept) / 2) as u64;
+        let half = (sockets.saturating_sub(kept) / 2) as u64;
         if half == 0 {
-            bail!("EDGE_CONFIG: limits.sockets: {} is under {}", limits.sockets, kept + 2);
+            bail!("EDGE_CONFIG: {whose}: {sockets} is under {}", kept + 2);
         }
         let client_connections = number("client_connections", half, 1)? as usize;
         let server_connections = number("server_connections", half, 1)? as usize;
-        if client_connections + server_connections + kept > limits.sockets {
+        if client_connections + server_connections + kept > sockets {
             bail!(
                 "EDGE_CONFIG: sidecar.client_connections and sidecar.server_connections: {client_connections} and \
-                 {server_connections} leave no {kept} of {} descriptors",
-                limits.sockets
+                 {server_connections} leave no {kept} of {sockets} descriptors ({whose})"
             );
         }
         let watch = {
@@ -390,6 +406,13 @@
     Ok(Some(read))
 }
 
+/// Descriptors that the machine lets this process have, where it tells a limit.
+fn machine_descriptors() -> Option<usize> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 fn env(name: &'static str) -> Result<Option<String>> {
     match std::env::var(name) {
         Ok(value) if value.is_empty() => bail!("{name} is empty"),
@@ -415,7 +438,7 @@
                            {{"name":"b","aim":400000,"deadline":2000000,"semantics":"retryable"}}],
                 "limits":{{"conn_idle":5000000,"connect_timeout":200000,"max_open":40000}}}}}}"#
         );
-        Config::parse(&text, First::Variable, |_| Ok(None))
+        Config::parse(&text, First::Variable, |_| Ok(None), None)
     }
 
     /// Settings that are only watched are proved like those in force, and must speak of the same classes.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -59,6 +59,9 @@
     let mut config = Config::read()?;
     logger::start(config.log, config.form);
     tracing::info!("sidecar {} starts, {} servers known", config.name, config.known.entries.len());
+    if let Some((told, machine)) = config.lowered {
+        tracing::warn!("limits.sockets is {told}, the machine gives {machine} descriptors: that binds");
+    }
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
     let (site, own) = (config.site.clone(), config.own.clone());
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -268,6 +268,12 @@
         Late { listener, held, address }
     }
 
+    /// Lets connections come up from here on, to discovery.
+    pub fn open_discovery(self) -> Discovery {
+        drop(self.held);
+        Discovery::on(self.listener)
+    }
+
     /// Lets connections come up from here on.
     pub fn open(self, act: impl Fn(usize, &Message) -> Act + Send + Sync + 'static) -> Server {
         drop(self.held);
@@ -339,7 +345,11 @@
 
 impl Discovery {
     pub fn start() -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Discovery::on(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    /// The same behind this listener.
+    pub fn on(listener: TcpListener) -> Discovery {
         let (calls, lists, ended) = (Seen::new(), Seen::new(), Seen::new());
         let (streams, whole) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(None)));
         let silent = Arc::new(AtomicBool::new(false));
--- /dev/null
+++ b/crates/sidecar/tests/descriptors.rs
@@ -0,0 +1,210 @@
+//! Idle clients at the bound on descriptors, and beyond it, while discovery is down: what is no traffic keeps its places,
+//! whatever clients hold.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What the program is told that it may hold: room for twenty clients.
+const SOCKETS: usize = 104;
+/// The grace of a drain, and the longest that a try of discovery is put off: two thirds of it, by the follower.
+const GRACE: Duration = Duration::from_secs(6);
+const TRIES: Duration = Duration::from_secs(4);
+
+/// One call of the console.
+fn call(console: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(console).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(line.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+/// How discovery is down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outage {
+    /// Connections are refused.
+    Refuses,
+    /// They do not come up: each try of the program holds a descriptor for as long as it waits.
+    Hangs,
+}
+
+enum Down {
+    Refuses(SocketAddr),
+    Hangs(Late),
+}
+
+impl Down {
+    fn new(outage: Outage) -> Down {
+        match outage {
+            Outage::Refuses => Down::Refuses(own_address()),
+            Outage::Hangs => Down::Hangs(Late::new()),
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        match self {
+            Down::Refuses(address) => *address,
+            Down::Hangs(late) => late.address,
+        }
+    }
+
+    fn returns(self) -> Discovery {
+        match self {
+            Down::Refuses(address) => Discovery::on(TcpListener::bind(address).unwrap()),
+            Down::Hangs(late) => late.open_discovery(),
+        }
+    }
+}
+
+/// Idle clients that come whenever there is a place, until they are told to stop: some say nothing, some half of what they
+/// have to say, some ask once and stay.
+fn crowd(listen: SocketAddr, full: &AtomicBool, stop: &AtomicBool) {
+    let mut held = std::collections::VecDeque::new();
+    for n in 0_usize.. {
+        if stop.load(Ordering::SeqCst) {
+            return;
+        }
+        let Ok(mut stream) = TcpStream::connect_timeout(&listen, Duration::from_millis(100)) else {
+            // The machine's own queue is full as well.
+            full.store(true, Ordering::SeqCst);
+            continue;
+        };
+        let request = read(&format!("crowd{n}"));
+        let _ = stream.write_all(match n % 3 {
+            0 => b"",
+            1 => &request.as_bytes()[..20],
+            _ => request.as_bytes(),
+        });
+        held.push_back(stream);
+        // Those were closed long ago: the places are far fewer.
+        if held.len() > 3 * SOCKETS {
+            held.pop_front();
+        }
+    }
+}
+
+/// Asks until it is served, and by whom.
+fn served(sidecar: &Sidecar, id: &str) -> String {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        let mut client = sidecar.connect();
+        client.send(&read(id));
+        if let Some(answer) = client.answer_or_end().filter(|answer| answer.status() == 200) {
+            return answer.text();
+        }
+        assert!(Instant::now() < end, "a usual client is kept out");
+    }
+}
+
+/// The list is followed at once when discovery returns, its change is acted on, servers are reached and the console answers,
+/// with a crowd of idle clients that takes every place there is.
+fn all_keep_their_places(outage: Outage, sockets: usize, machine: Option<usize>) {
+    let (gate, wait) = latch("in hand");
+    let old = Server::start(move |_, message| match message.target() {
+        "/read/held" => wait.clone(),
+        _ => ok("old"),
+    });
+    let new = Server::start(|_, _| ok("new"));
+    let (down, console) = (Down::new(outage), own_address());
+    let mut setup = Setup::new(vec![entry("s1", old.address, "up")])
+        .set("/discovery", json!(down.address().to_string()))
+        .set("/console", json!(console.to_string()))
+        .set("/limits/sockets", json!(sockets))
+        .set("/settings/safety/drain_grace", json!(GRACE.as_micros() as u64))
+        .set("/settings/classes/0/aim", json!(60_000_000))
+        .set("/settings/classes/0/deadline", json!(60_000_000))
+        // No time of their own ends them while this test waits.
+        .set("/sidecar/client_request_ms", json!(600_000))
+        .set("/sidecar/client_idle_ms", json!(600_000));
+    setup.descriptors = machine;
+    let sidecar = setup.start();
+    let mut kept = sidecar.connect();
+    kept.send(&read("kept0"));
+    assert_eq!(kept.answer().text(), "old");
+    let mut held = sidecar.connect();
+    held.send(
+        &read("held").replace("GET /read", "GET /read/held").replace("X-Timeout: 0.9", "X-Timeout: 60"),
+    );
+    old.requests.wait(2, "requests");
+    let most = machine.unwrap_or(sockets).min(sockets);
+    let (full, stop) = (AtomicBool::new(false), AtomicBool::new(false));
+    let fits = || {
+        let holds = sidecar.descriptors();
+        assert!(holds <= most, "{holds} descriptors of {most}");
+        assert_eq!(call(console, "status\n"), "YES active\n");
+    };
+    // However this ends, the crowd goes home.
+    struct Home<'a>(&'a AtomicBool);
+    impl Drop for Home<'_> {
+        fn drop(&mut self) {
+            self.0.store(true, Ordering::SeqCst);
+        }
+    }
+    thread::scope(|scope| {
+        let _home = Home(&stop);
+        scope.spawn(|| crowd(sidecar.listen, &full, &stop));
+        let end = Instant::now() + PATIENCE;
+        while !full.load(Ordering::SeqCst) {
+            assert!(Instant::now() < end, "the places are never full");
+            fits();
+        }
+        // Some tries of discovery fail among them.
+        let failed = || sidecar.log.all().iter().filter(|l| l.contains(" of discovery at ")).count();
+        let before = failed();
+        while failed() < before + 3 {
+            assert!(Instant::now() < end, "discovery is not asked for");
+            fits();
+        }
+        let back = Instant::now();
+        let discovery = down.returns();
+        discovery.calls.wait(1, "watches");
+        let asked = back.elapsed();
+        assert!(asked <= TRIES, "{outage:?}: asked {asked:?} after the return of discovery");
+        sidecar.logged("open after revision 7");
+        let (leaves, comes) = (entry("s1", old.address, "draining"), entry("s2", new.address, "up"));
+        let told = Instant::now();
+        discovery.send(9, false, vec![leaves, comes]);
+        sidecar.logged("list changes revision 9: 1 up, 1 draining");
+        let acted = told.elapsed();
+        assert!(acted <= GRACE, "{outage:?}: a drain acted on {acted:?} after it was told");
+        fits();
+        // What was held is served, and a new server is reached.
+        gate.send(()).unwrap();
+        assert_eq!(held.answer().text(), "in hand");
+        let _ = kept.stream.write_all(read("kept1").as_bytes());
+        assert!(kept.answer_or_end().is_none_or(|answer| answer.text() == "new"));
+        assert_eq!(served(&sidecar, "after"), "new");
+        fits();
+    });
+    assert!(!sidecar.log.all().iter().any(|line| line.contains("os error 24")), "no descriptor was left");
+}
+
+#[test]
+fn idle_clients_at_the_bound_leave_the_list_servers_and_console_their_places() {
+    for outage in [Outage::Refuses, Outage::Hangs] {
+        all_keep_their_places(outage, SOCKETS, None);
+    }
+}
+
+#[test]
+fn what_it_is_told_that_it_may_hold_is_enough_where_the_machine_gives_no_more() {
+    for outage in [Outage::Refuses, Outage::Hangs] {
+        all_keep_their_places(outage, SOCKETS, Some(SOCKETS));
+    }
+}
+
+/// The limit of the machine binds where it is lower than what the program was told.
+#[test]
+fn a_lower_limit_of_the_machine_binds_clients_alone() {
+    for outage in [Outage::Refuses, Outage::Hangs] {
+        all_keep_their_places(outage, 1024, Some(SOCKETS));
+    }
+}
