An answer and its deadline in one instant, uploads and long answers at a hand-over: forced

An answer and its deadline: the program's log is not read until its pipe is full, so that its next line has it stand still in the midst of what it does; the answer comes, the time runs out, and it finds both in one turn of its loop (a SIGSTOP would not do: a wait that it interrupts ends before either is looked at, and the timers come first). Seen: 200, one answer. Uploads and long answers half way while a new process takes over a shared listener: both come to their ends at the old one, which then ends with 0.

--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -7,10 +7,11 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::fs::OpenOptionsExt;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -122,6 +123,8 @@
     Raw(String, Then),
     /// Does this once the test lets it.
     Wait(Arc<Mutex<Receiver<()>>>, Box<Act>),
+    /// Does one, then the other where the connection is not over.
+    Both(Box<Act>, Box<Act>),
 }
 
 /// What becomes of the connection.
@@ -310,6 +313,7 @@
             let _ = latch.lock().unwrap().recv_timeout(PATIENCE);
             perform(stream, *act)
         }
+        Act::Both(first, then) => perform(stream, *first) && perform(stream, *then),
     }
 }
 
@@ -524,14 +528,20 @@
         let mut child = command.spawn().unwrap();
         let log = Seen::new();
         let (lines, stderr) = (log.clone(), child.stderr.take().unwrap());
+        let (reading, parked) = (Arc::new(Mutex::new(())), Arc::new(AtomicBool::new(false)));
+        let (reads, parks) = (reading.clone(), parked.clone());
         let reader = thread::spawn(move || {
             for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                parks.store(true, Ordering::SeqCst);
+                drop(reads.lock());
+                parks.store(false, Ordering::SeqCst);
                 lines.push(line);
             }
         });
         let listen = self.config["listen"].as_str().and_then(|l| l.parse().ok());
         let listen = listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
-        Sidecar { child, listen, log, reader: Some(reader), file, config: self.config }
+        let (reader, config) = (Some(reader), self.config);
+        Sidecar { child, listen, log, reader, reading, parked, file, config }
     }
 
     /// Starts the program and waits until it serves.
@@ -557,6 +567,9 @@
     pub listen: SocketAddr,
     pub log: Seen<String>,
     reader: Option<thread::JoinHandle<()>>,
+    /// Held while its log is not read, and whether the reader waits for that.
+    reading: Arc<Mutex<()>>,
+    parked: Arc<AtomicBool>,
     file: tempfile::NamedTempFile,
     pub config: Value,
 }
@@ -578,6 +591,21 @@
         assert!(Command::new("kill").args(["-s", signal, &pid]).status().unwrap().success());
     }
 
+    /// Until this is dropped its log is not read, and the pipe is full: the next line that it writes has it stand still, in
+    /// the midst of what it does. What happens meanwhile it then finds in one moment.
+    pub fn stands_still_at_its_next_line(&self) -> MutexGuard<'_, ()> {
+        let unread = self.reading.lock().unwrap();
+        // Of Linux; not shared with the program's own end of the pipe.
+        const O_NONBLOCK: i32 = 0o4000;
+        let pipe = format!("/proc/{}/fd/2", self.child.id());
+        let mut pipe = std::fs::OpenOptions::new().write(true).custom_flags(O_NONBLOCK).open(pipe).unwrap();
+        let end = Instant::now() + PATIENCE;
+        while pipe.write(b"\n").is_ok() || !self.parked.load(Ordering::SeqCst) {
+            assert!(Instant::now() < end, "the pipe of its log is never full");
+        }
+        unread
+    }
+
     /// Replaces the file of the configuration and tells the program so.
     pub fn reload(&self, config: &str) {
         std::fs::write(self.file.path(), config).unwrap();
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -474,3 +474,44 @@
     assert_eq!(client.answer().status(), 503);
     assert_eq!(late.open(|_, _| ok("twice")).ids(), Vec::<String>::new());
 }
+
+/// An answer and its deadline in one instant: the program stands still while the answer comes and the time runs out, and finds
+/// both at once. The answer is there: it counts, and is the only one.
+#[test]
+fn an_answer_and_its_deadline_in_one_instant_are_one_answer() {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        assert!(Instant::now() < end, "this machine never gave the time to force the order");
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let sidecar = Setup::new(vec![entry("s1", listener.local_addr().unwrap(), "up")]).start();
+        let mut client = sidecar.connect();
+        let sent = Instant::now();
+        client.send(&once("r1"));
+        let (mut server, _) = listener.accept().unwrap();
+        let mut input = std::io::BufReader::new(server.try_clone().unwrap());
+        assert!(matches!(read_message(&mut input), Ok(Some(_))));
+        sidecar.logged("attempt 0 of request 0 goes out");
+        let stands_still = sidecar.stands_still_at_its_next_line();
+        let mut other = sidecar.connect();
+        other.send(&waits(read("other")));
+        // It stands: another is not turned to, though all that it takes is there.
+        let asked = Instant::now();
+        let mut health = sidecar.connect();
+        health.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+        health.stream.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+        let stands = health.stream.peek(&mut [0]).is_err() && asked.elapsed() >= Duration::from_millis(100);
+        let in_time = sent.elapsed() < Duration::from_millis(700);
+        server.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nr1").unwrap();
+        std::thread::sleep((sent + Duration::from_millis(1000)).saturating_duration_since(Instant::now()));
+        drop(stands_still);
+        let answer = client.answer();
+        if !stands || !in_time {
+            continue;
+        }
+        assert_eq!((answer.status(), answer.text().as_str()), (200, "r1"));
+        // Nothing of a second one stands before the next request's.
+        client.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+        assert_eq!(client.answer().text(), "ok\n");
+        return;
+    }
+}
--- a/crates/sidecar/tests/operators.rs
+++ b/crates/sidecar/tests/operators.rs
@@ -358,6 +358,65 @@
     }
 }
 
+/// A new process takes over while a body longer than is held comes in, and an answer longer than is held goes out, both half
+/// way: the old process brings both to their end, and then ends, whatever the new one serves beside it.
+#[test]
+fn uploads_and_long_answers_under_way_at_a_hand_over_come_to_their_ends() {
+    const LONG: usize = 400_000;
+    let (gate, rest) = held(Act::Raw("x".repeat(LONG / 2), Then::Keep));
+    let server = Server::start(move |_, message| match message.target() {
+        "/read/long" => {
+            let told = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
+            let half = Act::Raw(told + &"x".repeat(LONG / 2), Then::Keep);
+            Act::Both(Box::new(half), Box::new(rest.clone()))
+        }
+        "/once" => ok(&message.body.len().to_string()),
+        _ => ok("x"),
+    });
+    let (listener, at) = platforms_listener();
+    let known = vec![entry("s1", server.address, "up")];
+    let (setup, _) = on(&listener, at, known.clone());
+    let old = setup.set("/sidecar/end_after_term_ms", json!(60_000)).start();
+    let mut upload = old.connect();
+    upload.send(&once("up").replace("Content-Length: 4", &format!("Content-Length: {LONG}")));
+    // What is ahead of the body's end by now, with the four bytes that came with the head.
+    let mut part = |bytes: usize| upload.stream.write_all("x".repeat(bytes).as_bytes()).unwrap();
+    part(LONG / 2);
+    old.logged("attempt 0 of request 0 goes out");
+    let mut download = old.connect();
+    download.send(&read("down").replace("GET /read", "GET /read/long"));
+    let mut begun = [0; 1];
+    download.stream.read_exact(&mut begun).unwrap();
+    let (setup, console) = on(&listener, at, known);
+    let new = setup.spawn();
+    new.logged("listening on");
+    part(1000);
+    old.signal("TERM");
+    old.logged("told to end");
+    let end = Instant::now() + PATIENCE;
+    while figure(console, "upstream_tries") == 0 {
+        assert!(Instant::now() < end, "the new process serves nobody");
+        let mut client = TcpStream::connect(at).unwrap();
+        client.set_read_timeout(Some(PATIENCE)).unwrap();
+        let request = read("beside").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+        client.write_all(request.as_bytes()).unwrap();
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert!(!server.ids().contains(&"up".to_owned()), "the upload was to be under way still");
+    part(LONG - LONG / 2 - 1000 - "body".len());
+    let answer = upload.answer();
+    assert_eq!((answer.text(), answer.header("connection")), (LONG.to_string(), Some("close")));
+    gate.send(()).unwrap();
+    let mut got = Vec::new();
+    download.stream.read_to_end(&mut got).unwrap();
+    let body = got.windows(4).position(|bytes| bytes == b"\r\n\r\n").unwrap() + 4;
+    assert_eq!(got.len() - body, LONG);
+    let (status, log) = old.end();
+    assert!(status.success() && !log.contains("still open"), "{log}");
+}
+
 #[test]
 fn what_is_told_wrong_ends_the_start_and_disturbs_nobody() {
     let (listener, at) = platforms_listener();
