--- a/crates/sidecar/src/config/tests.rs
+++ b/crates/sidecar/src/config/tests.rs
@@ -14,7 +14,7 @@
                        {{"name":"b","aim":400000,"deadline":2000000,"semantics":"retryable"}}],
             "limits":{{"conn_idle":5000000,"connect_timeout":200000,"max_open":40000}}}}}}"#
     );
-    Config::parse(&text, First::Variable, |_| Ok(None))
+    Config::parse(&text, First::Variable, |_| Ok(None), None)
 }
 
 /// Settings that are only watched are proved like those in force, and must speak of the same classes.
