--- /dev/null
+++ b/crates/lab/src/capacity/figures.rs
@@ -0,0 +1,726 @@
+//! Figures against limits: each is either played by a run at the plan's size, or worked out as slope × driver. Without the
+//! interest set and with it; with it at the sidecar that calls the most services, since that one has to keep the limits.
+
+use super::results::{Added, Form, Results, Seen, Slope, Verdict};
+use super::show::{amount, count, part};
+use crate::plan::{Change, Plan};
+use std::fmt::Write;
+
+/// Whom a figure is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    Caller,
+    Follower,
+    Control,
+}
+
+impl Role {
+    pub fn name(self) -> &'static str {
+        match self {
+            Role::Caller => "caller's side of a sidecar",
+            Role::Follower => "follower of discovery",
+            Role::Control => "control machine",
+        }
+    }
+}
+
+/// In what a figure's unit is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unit {
+    Bytes,
+    BytesASecond,
+    MessagesASecond,
+    PartOfCore,
+    Seconds,
+    Millis,
+    Count,
+    Micros,
+}
+
+/// A limit: the letter's, then those of the machines that we assume.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Limit {
+    Added,
+    InForce,
+    Cpu,
+    Memory,
+    Bytes,
+    Descriptors,
+    ControlCpu,
+    ControlMemory,
+    ControlBytes,
+    ControlDescriptors,
+}
+
+impl Limit {
+    pub const ALL: [Limit; 10] = [
+        Limit::Added,
+        Limit::InForce,
+        Limit::Cpu,
+        Limit::Memory,
+        Limit::Bytes,
+        Limit::Descriptors,
+        Limit::ControlCpu,
+        Limit::ControlMemory,
+        Limit::ControlBytes,
+        Limit::ControlDescriptors,
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Limit::Added => "added to a call, p99",
+            Limit::InForce => "a change in force everywhere",
+            Limit::Cpu => "a sidecar's processor time",
+            Limit::Memory => "a sidecar's memory",
+            Limit::Bytes => "a sidecar's bytes a second, in any 10 s",
+            Limit::Descriptors => "a sidecar's descriptors (assumed)",
+            Limit::ControlCpu => "a control machine's processor time (assumed)",
+            Limit::ControlMemory => "a control machine's memory (assumed)",
+            Limit::ControlBytes => "a control machine's bytes out a second (assumed)",
+            Limit::ControlDescriptors => "a control machine's descriptors (assumed)",
+        }
+    }
+
+    pub fn unit(self) -> Unit {
+        match self {
+            Limit::Added => Unit::Millis,
+            Limit::InForce => Unit::Seconds,
+            Limit::Cpu | Limit::ControlCpu => Unit::PartOfCore,
+            Limit::Memory | Limit::ControlMemory => Unit::Bytes,
+            Limit::Bytes | Limit::ControlBytes => Unit::BytesASecond,
+            Limit::Descriptors | Limit::ControlDescriptors => Unit::Count,
+        }
+    }
+
+    pub fn of(self, plan: &Plan) -> f64 {
+        let (limits, own) = (&plan.told.limits, &plan.assumed);
+        match self {
+            Limit::Added => limits.added_ms,
+            Limit::InForce => limits.in_force_s,
+            Limit::Cpu => limits.cpu_part_of_core,
+            Limit::Memory => limits.memory_bytes,
+            Limit::Bytes => limits.bytes_a_second,
+            Limit::Descriptors => own.sidecar_descriptors.is.into(),
+            Limit::ControlCpu => own.control_cores.is.into(),
+            Limit::ControlMemory => own.control_memory_bytes.is,
+            Limit::ControlBytes => own.control_bytes_a_second.is,
+            Limit::ControlDescriptors => own.control_descriptors.is.into(),
+        }
+    }
+}
+
+/// When: an ordinary time, or a loss.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum When {
+    Mean,
+    Peak,
+    Restarts,
+    Zone,
+    ControlKilled,
+    AllAnew,
+}
+
+impl When {
+    pub const ALL: [When; 6] =
+        [When::Mean, When::Peak, When::Restarts, When::Zone, When::ControlKilled, When::AllAnew];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            When::Mean => "changes at mean",
+            When::Peak => "changes at peak",
+            When::Restarts => "restarts of a day",
+            When::Zone => "a zone at once",
+            When::ControlKilled => "a control machine killed",
+            When::AllAnew => "all sidecars anew",
+        }
+    }
+
+    fn of_day(name: &str) -> Option<When> {
+        Some(match name {
+            "changes-mean" => When::Mean,
+            "changes-peak" => When::Peak,
+            "restarts" => When::Restarts,
+            "zone" => When::Zone,
+            "control-killed" => When::ControlKilled,
+            "all-anew" => When::AllAnew,
+            _ => return None,
+        })
+    }
+}
+
+/// How a figure came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum How {
+    Played,
+    WorkedOut,
+}
+
+impl How {
+    pub fn name(self) -> &'static str {
+        match self {
+            How::Played => "played",
+            How::WorkedOut => "worked out",
+        }
+    }
+}
+
+/// A figure.
+#[derive(Clone, Debug)]
+pub struct Value {
+    pub is: f64,
+    /// How it was worked out, or of what it was played.
+    pub working: String,
+    /// The result files that it rests on.
+    pub from: Vec<String>,
+    /// It rests on a line drawn past what was measured.
+    pub beyond: bool,
+}
+
+/// A figure, or why there is none.
+pub type Cell = Result<Value, String>;
+
+/// What a role has of something at a time, without the interest set and with it.
+#[derive(Clone, Debug)]
+pub struct Row {
+    pub role: Role,
+    pub what: &'static str,
+    pub when: When,
+    pub how: How,
+    pub unit: Unit,
+    pub limit: Option<Limit>,
+    /// Without the interest set; with it at the widest sidecar.
+    pub cells: [Cell; 2],
+    /// The mechanism and its file.
+    pub by: &'static str,
+}
+
+impl Row {
+    /// The limit over the figure: under 1 it is missed.
+    pub fn headroom(&self, plan: &Plan, side: usize) -> Option<f64> {
+        let limit = self.limit?.of(plan);
+        self.cells[side].as_ref().ok().filter(|value| value.is > 0.0).map(|value| limit / value.is)
+    }
+}
+
+pub fn median(values: &[f64]) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    match sorted.len() {
+        0 => f64::NAN,
+        n if n % 2 == 1 => sorted[n / 2],
+        n => f64::midpoint(sorted[n / 2 - 1], sorted[n / 2]),
+    }
+}
+
+/// How far points may be from their line for the line to stand for them.
+const TRUSTED: f64 = 0.15;
+
+/// A slope at a size of its driver: on its line, between its points where the line is no good, and past them as its form
+/// says; none where the form past them isn't clear.
+fn at(slope: &Slope, driver: f64, unit: Unit) -> Option<(f64, String, bool)> {
+    let mut points: Vec<(f64, f64)> = slope.points.iter().map(|p| (p.at, median(&p.values))).collect();
+    points.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let (first, last) = (*points.first()?, *points.last()?);
+    let beyond = driver > last.0 * 1.001;
+    let show = |value: f64| amount(value, unit);
+    let line = slope.intercept + slope.slope * driver;
+    let straight = slope.form == Form::Linear && slope.residual <= TRUSTED && line > 0.0;
+    if slope.form == Form::Constant {
+        let all: Vec<f64> = points.iter().map(|p| p.1).collect();
+        return Some((median(&all), format!("constant {}", show(median(&all))), beyond));
+    }
+    if straight {
+        let working = format!("{} + {} × {}", show(slope.intercept), show(slope.slope), count(driver));
+        return Some((line, working, beyond));
+    }
+    if !beyond {
+        let place = points.partition_point(|p| p.0 < driver);
+        let value = match (place.checked_sub(1).map(|n| points[n]), points.get(place)) {
+            (Some(low), Some(high)) => low.1 + (high.1 - low.1) * (driver - low.0) / (high.0 - low.0),
+            (Some(low), None) => low.1,
+            (None, _) => first.1,
+        };
+        return Some((value, format!("between the points measured, at {}", count(driver)), false));
+    }
+    let over = driver / last.0;
+    let grown = match slope.form {
+        Form::Linear => last.1 * over,
+        Form::NLogN => last.1 * over * driver.ln() / last.0.ln(),
+        Form::Quadratic => last.1 * over * over,
+        Form::Constant | Form::NotClear => return None,
+    };
+    let by = slope.form.name();
+    Some((grown, format!("{} at {}, grown as {by} to {}", show(last.1), count(last.0), count(driver)), true))
+}
+
+/// Terms of a sum.
+#[derive(Default)]
+struct Sum {
+    is: f64,
+    working: String,
+    from: Vec<String>,
+    beyond: bool,
+}
+
+impl Sum {
+    fn add(&mut self, name: &str, is: f64, unit: Unit) {
+        self.is += is;
+        if !self.working.is_empty() {
+            self.working.push_str(" + ");
+        }
+        let _ = write!(self.working, "{name} {}", amount(is, unit));
+    }
+
+    fn add_value(&mut self, name: &str, value: Value, factor: f64, unit: Unit) {
+        self.add(name, value.is * factor, unit);
+        self.from.extend(value.from);
+        self.beyond |= value.beyond;
+    }
+
+    fn cell(mut self) -> Cell {
+        self.from.sort();
+        self.from.dedup();
+        Ok(Value { is: self.is, working: self.working, from: self.from, beyond: self.beyond })
+    }
+}
+
+/// What a plan asks of sidecars and control machines: the drivers, and what is worked out from them.
+pub struct Work<'a> {
+    pub plan: &'a Plan,
+    pub results: &'a Results,
+}
+
+const FOLLOWER: &str = "`crates/directory`, `crates/http/src/list.rs`; known servers by the interest set";
+const MODULE: &str = "`src/rules.rs`, `crates/engine`; known servers by the interest set";
+const STAND_IN: &str = "stand-in of discovery (`crates/trial`)";
+const PATH: &str = "`crates/http`, `crates/engine`, `src/rules.rs`";
+
+impl Work<'_> {
+    /// Servers that a sidecar knows: all, or those of the services that the widest calls.
+    pub fn known(&self, interest: bool) -> f64 {
+        if interest { self.plan.servers_called_most() } else { self.plan.told.endpoints.into() }
+    }
+
+    /// The part of the changes of the list that a sidecar sees.
+    pub fn seen(&self, interest: bool) -> f64 {
+        self.known(interest) / f64::from(self.plan.told.endpoints)
+    }
+
+    /// Calls of a sidecar a second, in the mean.
+    pub fn calls(&self) -> f64 {
+        self.plan.told.calls_a_second / f64::from(self.plan.told.endpoints)
+    }
+
+    /// Sidecars on one control machine: when all stand, and when one has gone.
+    pub fn sidecars(&self, one_gone: bool) -> f64 {
+        let machines = self.plan.told.control_machines - u32::from(one_gone);
+        f64::from(self.plan.told.endpoints.div_ceil(machines))
+    }
+
+    /// Endpoints of a zone.
+    pub fn zone(&self) -> f64 {
+        f64::from(self.plan.told.endpoints.div_ceil(self.plan.zones()))
+    }
+
+    /// Changes of the list a second at the word of discovery.
+    pub fn list_changes(&self, peak: bool) -> f64 {
+        let of_list = Change::ALL.into_iter().filter(|kind| kind.is_of_list());
+        of_list.map(|kind| self.rate(kind, peak)).sum()
+    }
+
+    fn rate(&self, kind: Change, peak: bool) -> f64 {
+        let rate = self.plan.change(kind);
+        if peak { rate.peak } else { rate.mean }
+    }
+
+    /// Changes of settings a second that a sidecar takes up: its service's, and everyone's.
+    fn settings(&self, peak: bool) -> [f64; 2] {
+        let of_one = if peak {
+            self.plan.assumed.peak_settings_of_a_service.is
+        } else {
+            self.rate(Change::SettingsOfOne, false) / f64::from(self.plan.told.services)
+        };
+        [of_one, self.rate(Change::SettingsOfAll, peak)]
+    }
+
+    /// A measured figure at a size of its driver.
+    pub fn slope(&self, name: &str, driver: f64, interest: bool, unit: Unit) -> Cell {
+        let Some((file, slope)) = self.results.slope(name, interest) else {
+            return Err(format!("not measured ({name})"));
+        };
+        let file = file.to_owned();
+        match at(slope, driver, unit) {
+            Some((is, working, beyond)) => Ok(Value { is, working, from: vec![file], beyond }),
+            None => Err(format!("not worked out: {name}'s form isn't clear past {}", count(driver))),
+        }
+    }
+
+    /// Bytes of a whole list of so many servers.
+    pub fn whole_list(&self, known: f64, interest: bool) -> Value {
+        self.slope("whole-list-bytes", known, interest, Unit::Bytes).unwrap_or_else(|_| {
+            let entry = self.plan.assumed.bytes_entry.is;
+            let working = format!("{} × {} (assumed)", amount(entry, Unit::Bytes), count(known));
+            Value { is: entry * known, working, from: Vec::new(), beyond: false }
+        })
+    }
+
+    /// Bytes a second of the list and of signs of life, and of settings.
+    fn steady_bytes(&self, peak: bool, interest: bool) -> Sum {
+        let own = &self.plan.assumed;
+        let mut sum = Sum::default();
+        sum.add("signs of life", own.heartbeats_a_second.is * own.bytes_heartbeat.is, Unit::BytesASecond);
+        let of_list = Change::ALL.into_iter().filter(|kind| kind.is_of_list());
+        let list: f64 = of_list.map(|kind| self.rate(kind, peak) * self.plan.change(kind).bytes).sum();
+        sum.add("list", list * self.seen(interest), Unit::BytesASecond);
+        let [one, all] = self.settings(peak);
+        let settings = one * own.bytes_settings_of_one.is + all * own.bytes_settings_of_all.is;
+        sum.add("settings", settings, Unit::BytesASecond);
+        sum
+    }
+
+    /// Bytes of a zone that goes, at one sidecar.
+    pub fn zone_bytes(&self, interest: bool) -> f64 {
+        self.zone() * self.plan.change(Change::ServerGoes).bytes * self.seen(interest)
+    }
+
+    /// What a sidecar is sent after its watch broke.
+    pub fn reconnect(&self, interest: bool) -> Value {
+        let known = self.known(interest);
+        let measured = self.slope("reconnect-bytes", known, interest, Unit::Bytes);
+        measured.unwrap_or_else(|_| self.whole_list(known, interest))
+    }
+
+    fn both(cell: impl Fn(bool) -> Cell) -> [Cell; 2] {
+        [cell(false), cell(true)]
+    }
+
+    /// Processor time of control beside calls: idle, with what changes cost.
+    fn cpu_of_control(&self, peak: bool, interest: bool) -> Cell {
+        let known = self.known(interest);
+        let mut sum = Sum::default();
+        let idle = self.slope("cpu-idle", known, interest, Unit::PartOfCore)?;
+        let shown = idle.working.clone();
+        sum.add_value("idle", idle, 1.0, Unit::PartOfCore);
+        let _ = write!(sum.working, " ({shown})");
+        let change = self.slope("change-applied", known, interest, Unit::Micros)?;
+        let seen = self.list_changes(peak) * self.seen(interest);
+        sum.add_value("changes", change, seen / 1e6, Unit::PartOfCore);
+        let taken = self.slope("settings-taken-up", known, interest, Unit::Micros)?;
+        let settings: f64 = self.settings(peak).iter().sum();
+        sum.add_value("settings", taken, settings / 1e6, Unit::PartOfCore);
+        sum.cell()
+    }
+
+    /// Windows and draws, as the kernels were measured.
+    fn cpu_of_draws(&self, peak: bool, interest: bool) -> Cell {
+        let known = self.known(interest);
+        let own = &self.plan.assumed;
+        let calls = self.calls() * if peak { own.peak_over_mean.is } else { 1.0 };
+        let mut sum = Sum::default();
+        let window = self.slope("window-step", known, interest, Unit::Micros)?;
+        let shown = window.working.clone();
+        sum.add_value("windows", window, own.windows_a_second.is / 1e6, Unit::PartOfCore);
+        let _ = write!(sum.working, " ({} a second of {shown})", count(own.windows_a_second.is));
+        let decision = self.slope("decision", known, interest, Unit::Micros)?;
+        let shown = decision.working.clone();
+        sum.add_value("draws", decision, calls / 1e6, Unit::PartOfCore);
+        let _ = write!(sum.working, " ({} a second of {shown})", count(calls));
+        sum.cell()
+    }
+
+    fn worked_row(
+        &self,
+        (role, when): (Role, When),
+        what: &'static str,
+        limit: Limit,
+        by: &'static str,
+        cell: impl Fn(bool) -> Cell,
+    ) -> Row {
+        let cells = Self::both(cell);
+        Row { role, what, when, how: How::WorkedOut, unit: limit.unit(), limit: Some(limit), cells, by }
+    }
+
+    /// Each figure that is worked out.
+    pub fn worked(&self) -> Vec<Row> {
+        let own = &self.plan.assumed;
+        let mut rows = Vec::new();
+        for (when, peak) in [(When::Mean, false), (When::Peak, true)] {
+            let follower = (Role::Follower, when);
+            rows.push(self.worked_row(follower, "control alone", Limit::Cpu, FOLLOWER, |interest| {
+                self.cpu_of_control(peak, interest)
+            }));
+            rows.push(self.worked_row(
+                follower,
+                "list, signs of life, settings",
+                Limit::Bytes,
+                FOLLOWER,
+                |i| self.steady_bytes(peak, i).cell(),
+            ));
+            let by = "`src/rules.rs`; known servers by the interest set";
+            rows.push(self.worked_row(
+                (Role::Caller, when),
+                "windows and draws",
+                Limit::Cpu,
+                by,
+                |interest| self.cpu_of_draws(peak, interest),
+            ));
+        }
+        let follower = (Role::Follower, When::Mean);
+        rows.push(self.worked_row(follower, "control alone, idle", Limit::Memory, FOLLOWER, |interest| {
+            self.slope("memory-idle", self.known(interest), interest, Unit::Bytes)
+        }));
+        let caller = (Role::Caller, When::Mean);
+        rows.push(self.worked_row(
+            caller,
+            "the whole process in service",
+            Limit::Memory,
+            MODULE,
+            |interest| self.slope("memory-in-service", self.known(interest), interest, Unit::Bytes),
+        ));
+        rows.push(self.worked_row(caller, "the whole process in service", Limit::Cpu, MODULE, |interest| {
+            self.slope("cpu-in-service", self.known(interest), interest, Unit::PartOfCore)
+        }));
+        let by = "bounds of `crates/sidecar/src/config.rs`";
+        rows.push(self.worked_row(
+            caller,
+            "connections and watches, bounded",
+            Limit::Descriptors,
+            by,
+            |_| {
+                let working = "bounded at the limit by configuration".to_owned();
+                let is = own.sidecar_descriptors.is.into();
+                Ok(Value { is, working, from: Vec::new(), beyond: false })
+            },
+        ));
+        self.worked_losses(&mut rows);
+        self.worked_control(&mut rows);
+        rows
+    }
+
+    fn worked_losses(&self, rows: &mut Vec<Row>) {
+        let zone = (Role::Follower, When::Zone);
+        rows.push(self.worked_row(zone, "a zone goes within 10 s", Limit::Bytes, FOLLOWER, |interest| {
+            let mut sum = self.steady_bytes(false, interest);
+            sum.add("zone", self.zone_bytes(interest) / 10.0, Unit::BytesASecond);
+            sum.cell()
+        }));
+        let killed = (Role::Follower, When::ControlKilled);
+        rows.push(self.worked_row(killed, "watches opened anew", Limit::Bytes, FOLLOWER, |interest| {
+            let mut sum = self.steady_bytes(false, interest);
+            sum.add_value("reconnect in 10 s", self.reconnect(interest), 0.1, Unit::BytesASecond);
+            sum.cell()
+        }));
+        let anew = (Role::Follower, When::AllAnew);
+        let list = |interest| self.whole_list(self.known(interest), interest);
+        rows.push(self.worked_row(anew, "the whole list", Limit::Bytes, FOLLOWER, |interest| {
+            let mut sum = self.steady_bytes(false, interest);
+            sum.add_value("whole list in 10 s", list(interest), 0.1, Unit::BytesASecond);
+            sum.cell()
+        }));
+        let budget = self.plan.told.limits.bytes_a_second;
+        rows.push(self.worked_row(
+            anew,
+            "the whole list at the bytes allowed",
+            Limit::InForce,
+            FOLLOWER,
+            |i| {
+                let list = list(i);
+                let working =
+                    format!("{} / {}", amount(list.is, Unit::Bytes), amount(budget, Unit::BytesASecond));
+                Ok(Value { is: list.is / budget, working, from: list.from, beyond: list.beyond })
+            },
+        ));
+    }
+
+    fn worked_control(&self, rows: &mut Vec<Row>) {
+        let own = &self.plan.assumed;
+        for (when, peak) in [(When::Mean, false), (When::Peak, true)] {
+            let control = (Role::Control, when);
+            rows.push(self.worked_row(
+                control,
+                "to its sidecars",
+                Limit::ControlBytes,
+                STAND_IN,
+                |interest| {
+                    let each = self.steady_bytes(peak, interest);
+                    let sidecars = self.sidecars(false);
+                    let working = format!("{} × ({})", count(sidecars), each.working);
+                    Ok(Value { is: each.is * sidecars, working, from: each.from, beyond: each.beyond })
+                },
+            ));
+        }
+        for (when, one_gone) in [(When::ControlKilled, true), (When::AllAnew, false)] {
+            let control = (Role::Control, when);
+            rows.push(self.worked_row(
+                control,
+                "lists told anew",
+                Limit::ControlBytes,
+                STAND_IN,
+                |interest| {
+                    let list = self.whole_list(self.known(interest), interest);
+                    // Those of the one that has gone, spread over the others; all of one's own where all come anew.
+                    let more = self.sidecars(true) - self.sidecars(false);
+                    let sidecars = if one_gone { more } else { self.sidecars(false) };
+                    let (each, spread) = (amount(list.is, Unit::Bytes), own.reconnect_spread_s.is);
+                    let working = format!("{} × {each} in {spread} s", count(sidecars));
+                    let is = sidecars * list.is / spread;
+                    Ok(Value { is, working, from: list.from, beyond: list.beyond })
+                },
+            ));
+        }
+        let control = (Role::Control, When::ControlKilled);
+        rows.push(self.worked_row(
+            control,
+            "a watch of each sidecar",
+            Limit::ControlDescriptors,
+            STAND_IN,
+            |_| {
+                let sidecars = self.sidecars(true);
+                let working = format!("{} × 2, one late and one beside it", count(sidecars));
+                Ok(Value { is: 2.0 * sidecars, working, from: Vec::new(), beyond: false })
+            },
+        ));
+    }
+
+    /// Each figure that was played at the plan's size.
+    pub fn played(&self) -> Vec<Row> {
+        let mut rows: Vec<Row> = Vec::new();
+        for (file, run) in self.results.runs.iter().filter(|(_, run)| run.size == self.plan.told.endpoints) {
+            for (day, when) in run.days.iter().filter_map(|day| Some((day, When::of_day(&day.name)?))) {
+                for seen in &day.figures {
+                    let Some((role, what, unit, limit)) = place(seen) else { continue };
+                    let cell = match (day.verdict, judged(seen)) {
+                        (Verdict::Void, _) => Err("void".to_owned()),
+                        (_, None) => Err("not measured".to_owned()),
+                        (_, Some((is, of))) => {
+                            let pressed = if run.pressed == 1.0 {
+                                String::new()
+                            } else {
+                                format!(", time pressed {}", count(run.pressed))
+                            };
+                            let working = format!("{of}{pressed}");
+                            let is = if seen.unit == "ms" { is / 1e3 } else { is };
+                            Ok(Value { is, working, from: vec![file.clone()], beyond: false })
+                        }
+                    };
+                    let side = usize::from(run.interest);
+                    let same = |row: &&mut Row| (row.role, row.what, row.when) == (role, what, when);
+                    match rows.iter_mut().find(same) {
+                        Some(row) => row.cells[side] = cell,
+                        None => {
+                            let none = || Err("not measured".to_owned());
+                            let mut cells = [none(), none()];
+                            cells[side] = cell;
+                            let by = if role == Role::Control { STAND_IN } else { FOLLOWER };
+                            rows.push(Row { role, what, when, how: How::Played, unit, limit, cells, by });
+                        }
+                    }
+                }
+            }
+        }
+        rows.extend(self.added());
+        rows
+    }
+
+    /// The point of a call's cost that is nearest to the plan: depth 1, its rate, and as many servers known.
+    fn added(&self) -> Option<Row> {
+        if self.results.added.is_empty() {
+            return None;
+        }
+        let cell = |interest: bool| {
+            let near = |rate: f64| (rate / self.calls()).ln().abs() < 0.1;
+            let fits = |p: &Added| p.interest == interest && p.depth == 1 && near(p.rate);
+            // Without the interest set all servers are known, or the point says nothing of the plan.
+            let least = if interest { 1 } else { self.plan.told.endpoints };
+            let points = self.results.added.iter().filter(|(_, p)| fits(p) && p.known >= least);
+            let Some((file, point)) = points.max_by_key(|(_, p)| p.known) else {
+                return Err("not measured at this size".to_owned());
+            };
+            if point.verdict == Verdict::Void {
+                return Err("void".to_owned());
+            }
+            let low_high =
+                [point.added_p99_low_us, point.added_p99_high_us].map(|us| amount(us / 1e3, Unit::Millis));
+            let working = format!(
+                "{} known, {} a second, from {} to {}, {} of the calls",
+                count(f64::from(point.known)),
+                count(point.rate),
+                low_high[0],
+                low_high[1],
+                answered(point)
+            );
+            Ok(Value { is: point.added_p99_us / 1e3, working, from: vec![file.clone()], beyond: false })
+        };
+        let (role, what, when) = (Role::Caller, "through the sidecar against the direct way", When::Mean);
+        let (unit, limit, cells) = (Unit::Millis, Some(Limit::Added), Self::both(cell));
+        Some(Row { role, what, when, how: How::Played, unit, limit, cells, by: PATH })
+    }
+}
+
+/// What part of the calls of a point was answered.
+pub fn answered(point: &Added) -> String {
+    let all = point.answered + point.refused + point.lost;
+    part(point.answered as f64 / (all.max(1)) as f64)
+}
+
+/// Where a figure of a scale run belongs.
+fn place(seen: &Seen) -> Option<(Role, &'static str, Unit, Option<Limit>)> {
+    let (role, words) = match seen.role.as_str() {
+        "control" => (Role::Control, ["", "", "", "", "", "", ""]),
+        "sidecar" | "follower" => (
+            Role::Follower,
+            [
+                "hollow sidecars, change in force",
+                "hollow sidecars, bytes in",
+                "hollow sidecars, messages in",
+                "hollow sidecars, bytes out",
+                "hollow sidecars, messages out",
+                "hollow sidecars, processor time",
+                "hollow sidecars, memory",
+            ],
+        ),
+        "real" | "caller" => (
+            Role::Caller,
+            [
+                "real sidecars, change in force",
+                "real sidecars, bytes in",
+                "real sidecars, messages in",
+                "real sidecars, bytes out",
+                "real sidecars, messages out",
+                "real sidecars, processor time",
+                "real sidecars, memory",
+            ],
+        ),
+        _ => return None,
+    };
+    let control = role == Role::Control;
+    let of = |n: usize, own: &'static str| if control { own } else { words[n] };
+    let limit = |sidecar: Limit, machine: Option<Limit>| if control { machine } else { Some(sidecar) };
+    Some(match seen.name.as_str() {
+        "in-force" => (role, of(0, "change in force"), Unit::Seconds, Some(Limit::InForce)),
+        "bytes-in" => (role, of(1, "bytes in"), Unit::BytesASecond, limit(Limit::Bytes, None)),
+        "messages-in" => (role, of(2, "messages in"), Unit::MessagesASecond, None),
+        "bytes-out" => {
+            (role, of(3, "bytes out"), Unit::BytesASecond, limit(Limit::Bytes, Some(Limit::ControlBytes)))
+        }
+        "messages-out" => (role, of(4, "messages out"), Unit::MessagesASecond, None),
+        "cpu" => {
+            (role, of(5, "processor time"), Unit::PartOfCore, limit(Limit::Cpu, Some(Limit::ControlCpu)))
+        }
+        "memory" => (role, of(6, "memory"), Unit::Bytes, limit(Limit::Memory, Some(Limit::ControlMemory))),
+        _ => return None,
+    })
+}
+
+/// The figure that is held against a limit, and which it is: bytes of a sidecar in any 10 s, of a control machine in any
+/// second; of all else the most of any.
+fn judged(seen: &Seen) -> Option<(f64, &'static str)> {
+    let most_10s = seen.most_10s.map(|is| (is, "most of any in any 10 s"));
+    let most_1s = seen.most_1s.map(|is| (is, "most of any in any second"));
+    let max = seen.max.map(|is| (is, "most of any"));
+    match (seen.name.as_str(), seen.role.as_str()) {
+        ("bytes-out", "control") => most_1s.or(max),
+        ("bytes-in" | "bytes-out", _) => most_10s.or(max),
+        _ => max.or(most_10s),
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,11 +3,13 @@
 
 #![forbid(unsafe_code)]
 
+mod capacity;
 mod days;
 mod demo;
 mod gate;
 mod html;
 mod memory;
+mod plan;
 mod results;
 mod trial;
 
@@ -40,6 +42,8 @@
     Demo(demo::Wanted),
     /// Many processes of the program under faults; exit 0 where every property held, 1 broken, 2 nothing can be said
     Trial(trial::Wanted),
+    /// Write the tables of a capacity page from a plan and the results of runs; with --check exit 1 where a page differs
+    Capacity(capacity::Wanted),
     /// A stand-in of a trial
     #[command(hide = true)]
     Stand {
@@ -166,6 +170,7 @@
     match Cli::parse().command {
         Command::Demo(wanted) => demo::run(wanted),
         Command::Trial(wanted) => trial::run(wanted),
+        Command::Capacity(wanted) => capacity::run(&wanted),
         Command::Stand { stand } => dunlincleat_trial::stands::stand(stand).map(|()| ExitCode::SUCCESS),
         Command::Tether { parent, program } => match dunlincleat_trial::child::tether(parent, &program)? {},
         Command::Run { scenario, seed, seeds, policy, scale, seconds, out } => {
--- /dev/null
+++ b/crates/lab/src/plan.rs
@@ -0,0 +1,507 @@
+//! A fleet's plan as data: what operators told of the fleet to design for, and what is assumed beside it, each with its
+//! reason. Reads and proves the file; a fault is named with its line, key, value and the range that would be right.
+
+use anyhow::{Context, Result, anyhow};
+use dunlincleat_fleet::draw::{line_at, line_of};
+use serde::Deserialize;
+use std::path::Path;
+
+/// A plan.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// Of the file's form: 1.
+    pub version: u32,
+    /// What the fleet is called.
+    pub name: String,
+    /// The operators' figures.
+    pub told: Told,
+    /// Our own.
+    pub assumed: Assumed,
+}
+
+/// The operators' figures.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Told {
+    /// Endpoints, each with a sidecar.
+    pub endpoints: u32,
+    /// Services.
+    pub services: u32,
+    /// Calls of all sidecars together, a second.
+    pub calls_a_second: f64,
+    /// Most calls in a chain.
+    pub depth: u32,
+    /// Regions.
+    pub regions: u32,
+    /// Zones; whether in all or in each region is assumed.
+    pub zones: u32,
+    /// Changes of configuration a day.
+    pub changes_a_day: f64,
+    /// Machines set aside for control.
+    pub control_machines: u32,
+    /// What has to be kept.
+    pub limits: Limits,
+    /// What fails.
+    pub failures: Failures,
+}
+
+/// What has to be kept.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Added to a call for 99 in 100, in milliseconds.
+    pub added_ms: f64,
+    /// From a change to being in force everywhere, in seconds.
+    pub in_force_s: f64,
+    /// A sidecar's processor time for control, as a part of one core.
+    pub cpu_part_of_core: f64,
+    /// A sidecar's memory for control, in bytes.
+    pub memory_bytes: f64,
+    /// A sidecar's bytes a second for control.
+    pub bytes_a_second: f64,
+}
+
+/// What fails.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Failures {
+    /// Machines lost on an ordinary day.
+    pub machines_a_day: f64,
+    /// Machines restarted or replaced on an ordinary day.
+    pub restarts_a_day: f64,
+    /// Racks or switches lost in a year.
+    pub racks_a_year: f64,
+    /// Zones lost in a year.
+    pub zones_a_year: f64,
+    /// How long regions lose each other, in seconds.
+    pub region_cut_s: f64,
+}
+
+/// A figure of our own and its reason.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Because<T> {
+    /// The figure.
+    pub is: T,
+    /// The reason.
+    pub why: String,
+}
+
+/// A depth of chains, and the share of chains that are so deep.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Depth {
+    /// Calls in the chain.
+    pub depth: u32,
+    /// Its share of the chains.
+    pub share: f64,
+}
+
+/// A part of the services, and the part of the endpoints that is theirs.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Sizes {
+    /// The part of the services.
+    pub services: f64,
+    /// The part of the endpoints.
+    pub endpoints: f64,
+}
+
+/// How many services are called, the hub among them, by a share of the sidecars.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Called {
+    /// Services.
+    pub services: u32,
+    /// The share of the sidecars.
+    pub share: f64,
+}
+
+/// What is assumed: each key with its reason in the file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+#[allow(missing_docs, reason = "each key is told in the plan's file, beside its value")]
+pub struct Assumed {
+    pub zones_in_each_region: Because<bool>,
+    pub endpoints_a_machine: Because<u32>,
+    pub machines_a_rack: Because<u32>,
+    pub peak_over_mean: Because<f64>,
+    pub depths: Because<Vec<Depth>>,
+    pub hub_endpoints: Because<u32>,
+    pub largest_endpoints: Because<u32>,
+    pub service_sizes: Because<Vec<Sizes>>,
+    pub services_called: Because<Vec<Called>>,
+    pub list_changes_counted: Because<bool>,
+    pub settings_of_all_a_day: Because<f64>,
+    pub peak_server_comes: Because<f64>,
+    pub peak_server_drains: Because<f64>,
+    pub peak_server_goes: Because<f64>,
+    pub peak_settings_of_one: Because<f64>,
+    pub peak_settings_of_a_service: Because<f64>,
+    pub peak_settings_of_all: Because<f64>,
+    pub bytes_server_comes: Because<f64>,
+    pub bytes_server_drains: Because<f64>,
+    pub bytes_server_goes: Because<f64>,
+    pub bytes_entry: Because<f64>,
+    pub bytes_settings_of_one: Because<f64>,
+    pub bytes_settings_of_all: Because<f64>,
+    pub heartbeats_a_second: Because<f64>,
+    pub bytes_heartbeat: Because<f64>,
+    pub windows_a_second: Because<f64>,
+    pub probe_rounds_a_second: Because<f64>,
+    pub reconnect_spread_s: Because<f64>,
+    pub control_cores: Because<u32>,
+    pub control_memory_bytes: Because<f64>,
+    pub control_bytes_a_second: Because<f64>,
+    pub control_descriptors: Because<u32>,
+    pub sidecar_descriptors: Because<u32>,
+}
+
+/// A kind of change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A server comes up.
+    ServerComes,
+    /// A server drains.
+    ServerDrains,
+    /// A server goes.
+    ServerGoes,
+    /// One service's settings.
+    SettingsOfOne,
+    /// Everyone's settings.
+    SettingsOfAll,
+}
+
+impl Change {
+    /// All of them.
+    pub const ALL: [Change; 5] = [
+        Change::ServerComes,
+        Change::ServerDrains,
+        Change::ServerGoes,
+        Change::SettingsOfOne,
+        Change::SettingsOfAll,
+    ];
+
+    /// As the page names it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Change::ServerComes => "a server comes",
+            Change::ServerDrains => "a server drains",
+            Change::ServerGoes => "a server goes",
+            Change::SettingsOfOne => "settings of one service",
+            Change::SettingsOfAll => "settings of all",
+        }
+    }
+
+    /// Whether discovery's list tells it.
+    pub fn is_of_list(self) -> bool {
+        !matches!(self, Change::SettingsOfOne | Change::SettingsOfAll)
+    }
+}
+
+/// How often a kind of change comes and what it weighs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rate {
+    /// A second, in the mean of a day.
+    pub mean: f64,
+    /// A second, at most on an ordinary day.
+    pub peak: f64,
+    /// Bytes of one on the wire.
+    pub bytes: f64,
+}
+
+/// A service of the plan.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// As `model` in discovery's list.
+    pub name: String,
+    /// Its endpoints.
+    pub endpoints: u32,
+}
+
+/// Seconds of a day.
+const DAY_S: f64 = 86_400.0;
+
+/// What is wrong: the key, and what its value is and would have to be.
+struct Wrong(String, String);
+
+fn within(key: &str, value: f64, least: f64, most: f64) -> Result<(), Wrong> {
+    if value.is_finite() && (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(Wrong(key.to_owned(), format!("{value} is not from {least} to {most}")))
+}
+
+/// Parts that come to 1.
+fn whole(key: &str, parts: impl Iterator<Item = f64> + Clone) -> Result<(), Wrong> {
+    for (n, part) in parts.clone().enumerate() {
+        within(&format!("{key}[{n}]"), part, 0.0, 1.0)?;
+    }
+    let sum: f64 = parts.sum();
+    if (sum - 1.0).abs() > 1e-6 {
+        return Err(Wrong(key.to_owned(), format!("the parts come to {sum:.6}, not to 1")));
+    }
+    Ok(())
+}
+
+/// `whole` things given out by `parts`, by the largest remainder; each part gets at least `least`.
+fn given_out(whole: u32, parts: &[f64], least: &[u32]) -> Vec<u32> {
+    let spare = whole.saturating_sub(least.iter().sum());
+    let exact: Vec<f64> = parts.iter().map(|part| part * f64::from(whole)).collect();
+    // What a part would have over its least, brought to the sum that is there.
+    let over: Vec<f64> = exact.iter().zip(least).map(|(e, l)| (e - f64::from(*l)).max(0.0)).collect();
+    let sum = over.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+    let wanted: Vec<f64> = over.iter().map(|over| over / sum * f64::from(spare)).collect();
+    let mut out: Vec<u32> = wanted.iter().zip(least).map(|(w, l)| w.floor() as u32 + l).collect();
+    let mut order: Vec<usize> = (0..parts.len()).collect();
+    order.sort_by(|a, b| wanted[*b].fract().total_cmp(&wanted[*a].fract()).then(a.cmp(b)));
+    let left = whole.saturating_sub(out.iter().sum()) as usize;
+    order.into_iter().cycle().take(if parts.is_empty() { 0 } else { left }).for_each(|n| out[n] += 1);
+    out
+}
+
+impl Plan {
+    /// Reads and proves a plan's file.
+    ///
+    /// # Errors
+    ///
+    /// Where it can't be read or a key is at fault: file, line, key, value, and the range that would be right.
+    pub fn read(path: &Path) -> Result<Plan> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).with_context(|| shown.clone())?;
+        let plan: Plan = toml::from_str(&text).with_context(|| shown.clone())?;
+        plan.check().map_err(|Wrong(key, what)| {
+            let line = line_of(&text, &key).unwrap_or_else(|| line_at(&text, 0));
+            anyhow!("{shown}: line {line}: {key}: {what}")
+        })?;
+        Ok(plan)
+    }
+
+    fn check(&self) -> Result<(), Wrong> {
+        let (told, own) = (&self.told, &self.assumed);
+        if self.version != 1 {
+            return Err(Wrong("version".into(), format!("{} is not 1", self.version)));
+        }
+        within("told.endpoints", told.endpoints.into(), 10.0, 1e6)?;
+        within("told.services", told.services.into(), 3.0, told.endpoints.into())?;
+        within("told.calls_a_second", told.calls_a_second, 1.0, 1e9)?;
+        within("told.depth", told.depth.into(), 1.0, 100.0)?;
+        within("told.regions", told.regions.into(), 1.0, 100.0)?;
+        within("told.zones", told.zones.into(), 1.0, told.endpoints.into())?;
+        within("told.control_machines", told.control_machines.into(), 2.0, 1000.0)?;
+        let limits = &told.limits;
+        within("told.limits.added_ms", limits.added_ms, 0.01, 1000.0)?;
+        within("told.limits.in_force_s", limits.in_force_s, 0.01, 3600.0)?;
+        within("told.limits.cpu_part_of_core", limits.cpu_part_of_core, 1e-4, 64.0)?;
+        within("told.limits.memory_bytes", limits.memory_bytes, 1e6, 1e12)?;
+        within("told.limits.bytes_a_second", limits.bytes_a_second, 1.0, 1e10)?;
+        let failures = &told.failures;
+        within("told.failures.machines_a_day", failures.machines_a_day, 0.0, told.endpoints.into())?;
+        within("told.failures.restarts_a_day", failures.restarts_a_day, 0.0, 1e6)?;
+        within("told.failures.racks_a_year", failures.racks_a_year, 0.0, 1e4)?;
+        within("told.failures.zones_a_year", failures.zones_a_year, 0.0, 1e3)?;
+        within("told.failures.region_cut_s", failures.region_cut_s, 1.0, DAY_S)?;
+        for (key, figure, least, most) in [
+            ("endpoints_a_machine", f64::from(own.endpoints_a_machine.is), 1.0, 1000.0),
+            ("machines_a_rack", f64::from(own.machines_a_rack.is), 1.0, 1000.0),
+            ("peak_over_mean", own.peak_over_mean.is, 1.0, 100.0),
+            ("settings_of_all_a_day", own.settings_of_all_a_day.is, 0.0, 1e5),
+            ("peak_server_comes", own.peak_server_comes.is, 0.0, 1e4),
+            ("peak_server_drains", own.peak_server_drains.is, 0.0, 1e4),
+            ("peak_server_goes", own.peak_server_goes.is, 0.0, 1e4),
+            ("peak_settings_of_one", own.peak_settings_of_one.is, 0.0, 1e4),
+            ("peak_settings_of_a_service", own.peak_settings_of_a_service.is, 0.0, 1e3),
+            ("peak_settings_of_all", own.peak_settings_of_all.is, 0.0, 1e3),
+            ("bytes_server_comes", own.bytes_server_comes.is, 1.0, 65_536.0),
+            ("bytes_server_drains", own.bytes_server_drains.is, 1.0, 65_536.0),
+            ("bytes_server_goes", own.bytes_server_goes.is, 1.0, 65_536.0),
+            ("bytes_entry", own.bytes_entry.is, 1.0, 65_536.0),
+            ("bytes_settings_of_one", own.bytes_settings_of_one.is, 1.0, 4e6),
+            ("bytes_settings_of_all", own.bytes_settings_of_all.is, 1.0, 4e6),
+            ("heartbeats_a_second", own.heartbeats_a_second.is, 0.0, 100.0),
+            ("bytes_heartbeat", own.bytes_heartbeat.is, 1.0, 65_536.0),
+            ("windows_a_second", own.windows_a_second.is, 0.1, 1000.0),
+            ("probe_rounds_a_second", own.probe_rounds_a_second.is, 0.0, 100.0),
+            ("reconnect_spread_s", own.reconnect_spread_s.is, 0.01, 3600.0),
+            ("control_cores", own.control_cores.is.into(), 1.0, 1024.0),
+            ("control_memory_bytes", own.control_memory_bytes.is, 1e8, 1e13),
+            ("control_bytes_a_second", own.control_bytes_a_second.is, 1e5, 1e11),
+            ("control_descriptors", own.control_descriptors.is.into(), 64.0, 1e8),
+            ("sidecar_descriptors", own.sidecar_descriptors.is.into(), 64.0, 1e7),
+        ] {
+            within(&format!("assumed.{key}.is"), figure, least, most)?;
+        }
+        let spare = f64::from(told.endpoints) - f64::from(told.services - 2);
+        within("assumed.hub_endpoints.is", own.hub_endpoints.is.into(), 1.0, spare - 1.0)?;
+        let spare = spare - f64::from(own.hub_endpoints.is);
+        within("assumed.largest_endpoints.is", own.largest_endpoints.is.into(), 1.0, spare)?;
+        for (n, called) in own.services_called.is.iter().enumerate() {
+            let key = format!("assumed.services_called.is[{n}]");
+            within(&key, called.services.into(), 1.0, told.services.into())?;
+        }
+        for (n, depth) in own.depths.is.iter().enumerate() {
+            within(&format!("assumed.depths.is[{n}]"), depth.depth.into(), 1.0, told.depth.into())?;
+        }
+        whole("assumed.depths.is", own.depths.is.iter().map(|depth| depth.share))?;
+        whole("assumed.service_sizes.is", own.service_sizes.is.iter().map(|sizes| sizes.services))?;
+        whole("assumed.service_sizes.is", own.service_sizes.is.iter().map(|sizes| sizes.endpoints))?;
+        whole("assumed.services_called.is", own.services_called.is.iter().map(|called| called.share))?;
+        let known = self.changes_of_list_a_day() + own.settings_of_all_a_day.is;
+        let least = if own.list_changes_counted.is { known } else { own.settings_of_all_a_day.is };
+        within("told.changes_a_day", told.changes_a_day, least, 1e7)?;
+        self.check_reasons()
+    }
+
+    fn check_reasons(&self) -> Result<(), Wrong> {
+        let own = &self.assumed;
+        for (key, why) in [
+            ("zones_in_each_region", &own.zones_in_each_region.why),
+            ("endpoints_a_machine", &own.endpoints_a_machine.why),
+            ("machines_a_rack", &own.machines_a_rack.why),
+            ("peak_over_mean", &own.peak_over_mean.why),
+            ("depths", &own.depths.why),
+            ("hub_endpoints", &own.hub_endpoints.why),
+            ("largest_endpoints", &own.largest_endpoints.why),
+            ("service_sizes", &own.service_sizes.why),
+            ("services_called", &own.services_called.why),
+            ("list_changes_counted", &own.list_changes_counted.why),
+            ("settings_of_all_a_day", &own.settings_of_all_a_day.why),
+            ("peak_server_comes", &own.peak_server_comes.why),
+            ("peak_server_drains", &own.peak_server_drains.why),
+            ("peak_server_goes", &own.peak_server_goes.why),
+            ("peak_settings_of_one", &own.peak_settings_of_one.why),
+            ("peak_settings_of_a_service", &own.peak_settings_of_a_service.why),
+            ("peak_settings_of_all", &own.peak_settings_of_all.why),
+            ("bytes_server_comes", &own.bytes_server_comes.why),
+            ("bytes_server_drains", &own.bytes_server_drains.why),
+            ("bytes_server_goes", &own.bytes_server_goes.why),
+            ("bytes_entry", &own.bytes_entry.why),
+            ("bytes_settings_of_one", &own.bytes_settings_of_one.why),
+            ("bytes_settings_of_all", &own.bytes_settings_of_all.why),
+            ("heartbeats_a_second", &own.heartbeats_a_second.why),
+            ("bytes_heartbeat", &own.bytes_heartbeat.why),
+            ("windows_a_second", &own.windows_a_second.why),
+            ("probe_rounds_a_second", &own.probe_rounds_a_second.why),
+            ("reconnect_spread_s", &own.reconnect_spread_s.why),
+            ("control_cores", &own.control_cores.why),
+            ("control_memory_bytes", &own.control_memory_bytes.why),
+            ("control_bytes_a_second", &own.control_bytes_a_second.why),
+            ("control_descriptors", &own.control_descriptors.why),
+            ("sidecar_descriptors", &own.sidecar_descriptors.why),
+        ] {
+            if why.trim().is_empty() {
+                return Err(Wrong(
+                    format!("assumed.{key}.why"),
+                    "it is empty; an assumption has a reason".into(),
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// Changes of the list in a day: a restart drains, goes and comes; a machine that fails goes and comes.
+    pub fn changes_of_list_a_day(&self) -> f64 {
+        let failures = &self.told.failures;
+        let lost = failures.machines_a_day * f64::from(self.assumed.endpoints_a_machine.is);
+        3.0 * failures.restarts_a_day + 2.0 * lost
+    }
+
+    /// How often a kind of change comes, and its bytes.
+    pub fn change(&self, kind: Change) -> Rate {
+        let (told, own) = (&self.told, &self.assumed);
+        let lost = told.failures.machines_a_day * f64::from(own.endpoints_a_machine.is);
+        let restarts = told.failures.restarts_a_day;
+        let of_list = if own.list_changes_counted.is { self.changes_of_list_a_day() } else { 0.0 };
+        let of_one = told.changes_a_day - of_list - own.settings_of_all_a_day.is;
+        let (a_day, peak, bytes) = match kind {
+            Change::ServerComes => (restarts + lost, own.peak_server_comes.is, own.bytes_server_comes.is),
+            Change::ServerDrains => (restarts, own.peak_server_drains.is, own.bytes_server_drains.is),
+            Change::ServerGoes => (restarts + lost, own.peak_server_goes.is, own.bytes_server_goes.is),
+            Change::SettingsOfOne => (of_one, own.peak_settings_of_one.is, own.bytes_settings_of_one.is),
+            Change::SettingsOfAll => {
+                (own.settings_of_all_a_day.is, own.peak_settings_of_all.is, own.bytes_settings_of_all.is)
+            }
+        };
+        Rate { mean: a_day / DAY_S, peak, bytes }
+    }
+
+    /// Zones in all.
+    pub fn zones(&self) -> u32 {
+        let each = if self.assumed.zones_in_each_region.is { self.told.regions } else { 1 };
+        self.told.zones * each
+    }
+
+    /// All services: the hub first, the largest next, then the others by size. The same at every call.
+    pub fn services(&self) -> Vec<Service> {
+        let own = &self.assumed;
+        let mut all = vec![
+            Service { name: "hub".into(), endpoints: own.hub_endpoints.is },
+            Service { name: "largest".into(), endpoints: own.largest_endpoints.is },
+        ];
+        let parts: Vec<f64> = own.service_sizes.is.iter().map(|sizes| sizes.services).collect();
+        let counts = given_out(self.told.services - 2, &parts, &vec![0; parts.len()]);
+        let parts: Vec<f64> = own.service_sizes.is.iter().map(|sizes| sizes.endpoints).collect();
+        let left = self.told.endpoints - own.hub_endpoints.is - own.largest_endpoints.is;
+        // A part without services holds no endpoints.
+        let parts: Vec<f64> =
+            parts.iter().zip(&counts).map(|(p, n)| if *n == 0 { 0.0 } else { *p }).collect();
+        for (endpoints, services) in given_out(left, &parts, &counts).into_iter().zip(counts) {
+            for n in 0..services {
+                let endpoints = endpoints / services + u32::from(n < endpoints % services);
+                all.push(Service { name: format!("s{}", all.len()), endpoints });
+            }
+        }
+        all
+    }
+
+    /// Servers that the widest sidecar calls: the hub's, the largest service's, and those of so many others.
+    pub fn servers_called_most(&self) -> f64 {
+        let own = &self.assumed;
+        let widest = own.services_called.is.iter().map(|called| called.services).max().unwrap_or(1);
+        let (hub, largest) = (f64::from(own.hub_endpoints.is), f64::from(own.largest_endpoints.is));
+        let all = f64::from(self.told.endpoints);
+        let others = (all - hub - largest) / f64::from(self.told.services - 2);
+        match widest {
+            0 | 1 => hub,
+            widest => (hub + largest + f64::from(widest - 2) * others).min(all),
+        }
+    }
+
+    /// The plan of a fleet that is larger by a factor, with the same control machines, and services called as before.
+    #[must_use]
+    pub fn grown(&self, factor: f64) -> Plan {
+        let mut plan = self.clone();
+        let whole = |n: u32| (f64::from(n) * factor).round() as u32;
+        let (told, own) = (&mut plan.told, &mut plan.assumed);
+        (told.endpoints, told.services) = (whole(told.endpoints), whole(told.services));
+        told.calls_a_second *= factor;
+        told.changes_a_day *= factor;
+        told.failures.machines_a_day *= factor;
+        told.failures.restarts_a_day *= factor;
+        told.failures.racks_a_year *= factor;
+        own.hub_endpoints.is = whole(own.hub_endpoints.is);
+        own.largest_endpoints.is = whole(own.largest_endpoints.is);
+        for peak in [
+            &mut own.peak_server_comes.is,
+            &mut own.peak_server_drains.is,
+            &mut own.peak_server_goes.is,
+            &mut own.peak_settings_of_one.is,
+        ] {
+            *peak *= factor;
+        }
+        plan
+    }
+
+    /// Services that a sidecar calls, in the mean.
+    pub fn services_called_mean(&self) -> f64 {
+        self.assumed.services_called.is.iter().map(|called| f64::from(called.services) * called.share).sum()
+    }
+
+    /// Servers that a sidecar that calls so many services calls, the hub's among them, in the mean of the others.
+    pub fn servers_called(&self, services: f64) -> f64 {
+        let hub = f64::from(self.assumed.hub_endpoints.is);
+        let others = (f64::from(self.told.endpoints) - hub) / f64::from(self.told.services - 1);
+        hub + (services - 1.0).max(0.0) * others
+    }
+}
