dunlincleat-lab slopes: what a sidecar costs against one driver at a time, as JSON

The fleet ahead is designed for by slopes, and there were only single looks. The command measures the very crates (decision, window, changes, whole lists, reconnects, settings, probes, leases, state as allocated) and the program itself beside the trial's list and application (memory and processor time, idle and in service), rounds over all sizes in turn, by processor time and counts. Each figure gets its line, interval, residual and form.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,7 @@
 mod html;
 mod memory;
 mod results;
+mod slopes;
 mod trial;
 
 use anyhow::{Context, Result, bail};
@@ -121,6 +122,8 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// What a sidecar costs against one driver at a time, with the line through each figure's points, as JSON
+    Slopes(slopes::Wanted),
     /// What a day at size costs: real time, memory and both for each instance
     Size {
         /// The scenario
@@ -166,6 +169,7 @@
     match Cli::parse().command {
         Command::Demo(wanted) => demo::run(wanted),
         Command::Trial(wanted) => trial::run(wanted),
+        Command::Slopes(wanted) => slopes::run(wanted),
         Command::Stand { stand } => dunlincleat_trial::stands::stand(stand).map(|()| ExitCode::SUCCESS),
         Command::Tether { parent, program } => match dunlincleat_trial::child::tether(parent, &program)? {},
         Command::Run { scenario, seed, seeds, policy, scale, seconds, out } => {
--- a/crates/lab/src/slopes/fit.rs
+++ b/crates/lab/src/slopes/fit.rs
@@ -46,7 +46,7 @@
 }
 
 /// The value that the rounds bear: half of them are under it.
-fn median(values: &[f64]) -> f64 {
+pub fn median(values: &[f64]) -> f64 {
     let mut sorted = values.to_vec();
     sorted.sort_by(f64::total_cmp);
     match (sorted.len(), sorted.len() / 2) {
@@ -59,7 +59,9 @@
 /// What a distance at a value is a part of: the value, or a thousandth of the largest where that is more.
 fn scales(values: &[f64]) -> Vec<f64> {
     let most = values.iter().fold(0.0f64, |most, v| most.max(v.abs()));
-    values.iter().map(|v| v.abs().max(most / 1000.0).max(f64::MIN_POSITIVE)).collect()
+    // Where all are zero each distance is zero too, whatever it is a part of.
+    let least = if most > 0.0 { most / 1000.0 } else { 1.0 };
+    values.iter().map(|v| v.abs().max(least)).collect()
 }
 
 /// The root of the mean square of relative distances, by the points that are left after `free` figures were chosen.
@@ -138,5 +140,12 @@
     };
     slopes.sort_by(f64::total_cmp);
     let at = |part: f64| slopes[((slopes.len() - 1) as f64 * part).round() as usize];
-    Fit { form: form(&sizes, &values), intercept, slope, slope_low: at(0.025), slope_high: at(0.975), residual }
+    Fit {
+        form: form(&sizes, &values),
+        intercept,
+        slope,
+        slope_low: at(0.025),
+        slope_high: at(0.975),
+        residual,
+    }
 }
--- /dev/null
+++ b/crates/lab/src/slopes/program.rs
@@ -0,0 +1,269 @@
+//! What the program itself takes: one sidecar as a process, beside the trial's list and application, and servers of any
+//! number on loopback that answer at once but for 5 ms. Its processor time and memory are the machine's own count.
+
+use super::Context;
+use super::control::CALLS;
+use anyhow::{Context as _, Result, anyhow, bail};
+use dunlincleat_trial::child::Process;
+use dunlincleat_trial::history::{Answer, Event, What};
+use dunlincleat_trial::load::{Application, Rate, Second};
+use dunlincleat_trial::stands::{Order, form};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::ChildStderr;
+use tokio::time::{Instant, sleep, timeout};
+
+/// How long anything may take to begin or to end.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// How long a server works on a request.
+const WORKS: Duration = Duration::from_millis(5);
+/// The longest head of a request that a server reads, in bytes.
+const HEAD: usize = 16 << 10;
+/// New files that are taken up one after another.
+const RELOADS: u32 = 5;
+const NAME: &str = "one";
+
+/// For how long what is measured.
+struct Times {
+    settle: Duration,
+    idle: Duration,
+    warm: Duration,
+    serves: Duration,
+}
+
+impl Times {
+    fn of(context: &Context) -> Times {
+        let [settle, idle, warm, serves] =
+            if context.small { [100, 300, 200, 500] } else { [1000, 4000, 4000, 6000] }
+                .map(Duration::from_millis);
+        Times { settle, idle, warm, serves }
+    }
+}
+
+/// Processor time of a process in microseconds, over its threads.
+fn cpu_of(id: u32) -> Result<f64> {
+    let mut sum = 0.0;
+    let folder = format!("/proc/{id}/task");
+    for task in std::fs::read_dir(&folder).with_context(|| folder.clone())? {
+        let path = task?.path().join("schedstat");
+        let text = std::fs::read_to_string(&path).with_context(|| path.display().to_string())?;
+        let ns = text.split_whitespace().next().and_then(|ns| ns.parse::<f64>().ok());
+        sum += ns.with_context(|| format!("{}: no processor time", path.display()))?;
+    }
+    Ok(sum / 1000.0)
+}
+
+/// Memory of a process in bytes, as far as it is resident.
+fn resident(id: u32) -> Result<f64> {
+    let path = format!("/proc/{id}/status");
+    let text = std::fs::read_to_string(&path).with_context(|| path.clone())?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    Ok(kb.with_context(|| format!("{path}: no VmRSS"))? * 1024.0)
+}
+
+/// Answers each request on a connection after a while, until it ends.
+async fn answer(mut stream: TcpStream) -> std::io::Result<()> {
+    let load = r#"{"inflight":1,"queue":0,"util":0.2}"#;
+    let (mut read, mut part) = (Vec::new(), [0; 4096]);
+    loop {
+        let end = loop {
+            if let Some(at) = read.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+                break at + 4;
+            }
+            let n = stream.read(&mut part).await?;
+            if n == 0 || read.len() > HEAD {
+                return Ok(());
+            }
+            read.extend_from_slice(&part[..n]);
+        };
+        let head = String::from_utf8_lossy(&read[..end]).to_ascii_lowercase();
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
+        let length = length.and_then(|n| n.trim().parse::<usize>().ok()).unwrap_or(0).min(HEAD);
+        while read.len() < end + length {
+            let n = stream.read(&mut part).await?;
+            if n == 0 {
+                return Ok(());
+            }
+            read.extend_from_slice(&part[..n]);
+        }
+        read.drain(..end + length);
+        sleep(WORKS).await;
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-server-load: {load}\r\n\r\ndone");
+        stream.write_all(answer.as_bytes()).await?;
+    }
+}
+
+/// Servers that serve for as long as this is held.
+struct Servers {
+    at: Vec<(String, SocketAddr)>,
+    tasks: Vec<actix_rt::task::JoinHandle<()>>,
+}
+
+impl Servers {
+    async fn start(servers: usize) -> Result<Servers> {
+        let (mut at, mut tasks) = (Vec::new(), Vec::new());
+        for n in 0..servers {
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+            let listener = listener.with_context(|| format!("server {n} of {servers} can't listen"))?;
+            at.push((format!("s-{:08x}", (n as u32).wrapping_mul(0x9e37_79b1)), listener.local_addr()?));
+            tasks.push(actix_rt::spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let _ = stream.set_nodelay(true);
+                    actix_rt::spawn(async move { drop(answer(stream).await) });
+                }
+            }));
+        }
+        Ok(Servers { at, tasks })
+    }
+}
+
+impl Drop for Servers {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(|task| task.abort());
+    }
+}
+
+/// The first line of a process that says this.
+async fn said(lines: &mut Lines<BufReader<ChildStderr>>, what: &str) -> Result<String> {
+    let find = async {
+        let mut last = String::new();
+        while let Some(line) = lines.next_line().await? {
+            if line.contains(what) {
+                return Ok(line);
+            }
+            last = line;
+        }
+        bail!("the sidecar ended: {last}")
+    };
+    timeout(PATIENCE, find).await.map_err(|_| anyhow!("the sidecar does not say '{what}'"))?
+}
+
+/// The list's process, which tells one sidecar of these servers.
+async fn list(lab: &Path, servers: &Servers) -> Result<(Process, tokio::process::ChildStdin, SocketAddr)> {
+    let mut process = Process::start(lab, lab, &["stand", "list", NAME], &[])?;
+    let (mut orders, out, _) = process.streams()?;
+    let mut lines = BufReader::new(out).lines();
+    let first = timeout(PATIENCE, lines.next_line()).await.context("the list does not begin")??;
+    let event: Event = serde_json::from_str(&first.context("the list ended")?)?;
+    let What::Listens { on } = event.what else { bail!("the list does not say where it listens") };
+    let hold = Order::Hold(BTreeMap::from([(NAME.to_owned(), servers.at.clone())]));
+    orders.write_all((serde_json::to_string(&hold)? + "\n").as_bytes()).await?;
+    Ok((process, orders, *on.first().context("the list listens nowhere")?))
+}
+
+/// What the sidecar is told at its start.
+fn config(discovery: SocketAddr, servers: &Servers, seed: u64) -> Value {
+    let known = form(servers.at.iter().map(|(name, at)| (name.as_str(), *at, "up")), true, 1);
+    let class = |name: &str, semantics: &str| {
+        json!({"name": name, "aim": 300_000, "deadline": 740_000, "gain": 1.0, "late_worth": 0.5,
+            "semantics": semantics, "group": "all", "window": 5_000_000})
+    };
+    json!({
+        "name": NAME, "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": format!("{seed:016x}"),
+        "known": known,
+        "settings": {
+            "zones": ["here"], "stats": {"fields": ["inflight", "queue", "util"], "how": "inline"},
+            "limits": {"try_limit": 4, "connect_timeout": 200_000},
+            "safety": {"drain_grace": 1_000_000, "cold": 1_000_000, "cold_from": 0.3},
+            "classes": [class("read", "retryable"), class("pay", "dedup"), class("book", "fragile")],
+        },
+    })
+}
+
+/// Its figures, idle and then in service with so many calls a second.
+async fn play(context: &Context, servers: usize, calls: f64) -> Result<Vec<f64>> {
+    let times = Times::of(context);
+    let servers = Servers::start(servers).await?;
+    let (mut list, orders, discovery) = list(&context.lab, &servers).await?;
+    let folder = tempfile::tempdir()?;
+    let path = folder.path().join("config.json");
+    std::fs::write(&path, config(discovery, &servers, context.seed).to_string())?;
+    let environment: [(&str, &Path); 1] = [("EDGE_CONFIG", path.as_path())];
+    let mut sidecar = Process::start(&context.lab, &context.program, &[], &environment)?;
+    let (_stdin, _out, errors) = sidecar.streams()?;
+    let id = sidecar.id();
+    let mut lines = BufReader::new(errors).lines();
+    let listens = said(&mut lines, "listening on ").await?;
+    let at = listens.split_once("listening on ").and_then(|(_, at)| at.trim().parse::<SocketAddr>().ok());
+    let at = at.with_context(|| format!("no address: {listens}"))?;
+    said(&mut lines, "list changes").await?;
+    sleep(times.settle).await;
+
+    let (first, begun) = (cpu_of(id)?, Instant::now());
+    sleep(times.idle).await;
+    let idle = (cpu_of(id)? - first) / begun.elapsed().as_micros() as f64;
+    let memory_idle = resident(id)?;
+
+    let (first, begun) = (cpu_of(id)?, Instant::now());
+    for _ in 0..RELOADS {
+        sidecar.signal(Signal::HUP);
+        said(&mut lines, "SIGHUP: new configuration").await?;
+    }
+    // The engine hears of it behind that line.
+    sleep(times.settle / 4).await;
+    let spent = cpu_of(id)? - first - idle * begun.elapsed().as_micros() as f64;
+    let reload = (spent / f64::from(RELOADS)).max(0.0);
+    let log = actix_rt::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+
+    let history = Rc::new(RefCell::new(Vec::new()));
+    let now = Rc::new(RefCell::new(Second::new()?));
+    let (name, cell) = (NAME.to_owned(), Rc::new(Cell::new(Some(at))));
+    let application = Application { name, at: cell, history: history.clone(), now };
+    let rate = Rate { per_s: calls, lasts: times.warm + times.serves, wait: Duration::from_millis(740) };
+    let asks = actix_rt::spawn(application.ask(rate, SmallRng::seed_from_u64(context.seed)));
+    sleep(times.warm).await;
+    let (first, begun) = (cpu_of(id)?, Instant::now());
+    sleep(times.serves - times.serves / 10).await;
+    let serving = (cpu_of(id)? - first) / begun.elapsed().as_micros() as f64;
+    let memory = resident(id)?;
+    timeout(PATIENCE, asks).await.context("the application does not end")??;
+
+    let asked = history.borrow().iter().filter(|event| matches!(event.what, What::Asked { .. })).count();
+    let served = |event: &&Event| matches!(event.what, What::Answered { answer: Answer::Served(_), .. });
+    let served = history.borrow().iter().filter(served).count();
+    eprintln!("  {} servers, {calls} calls a second: {served} of {asked} served", servers.at.len());
+    if served * 2 < asked || served == 0 {
+        bail!("of {asked} requests only {served} were served with {} servers known", servers.at.len());
+    }
+    sidecar.signal(Signal::TERM);
+    timeout(PATIENCE, sidecar.wait()).await.context("the sidecar does not end")??;
+    log.abort();
+    drop(orders);
+    timeout(PATIENCE, list.wait()).await.context("the list does not end")??;
+    Ok(vec![memory_idle, idle, reload, memory, serving])
+}
+
+fn played(context: &Context, servers: usize, calls: f64) -> Result<Vec<f64>> {
+    actix_rt::System::new().block_on(play(context, servers, calls))
+}
+
+/// Idle and in service at the plan's calls a second, by servers.
+pub fn by_servers(context: &Context, servers: usize) -> Result<Vec<f64>> {
+    played(context, servers, CALLS)
+}
+
+/// In service by calls a second, at few servers known and at all of them.
+fn by_calls(context: &Context, servers: usize, calls: usize) -> Result<Vec<f64>> {
+    Ok(played(context, servers, calls as f64)?.split_off(3))
+}
+
+/// At 60 servers.
+pub fn by_calls_few(context: &Context, calls: usize) -> Result<Vec<f64>> {
+    by_calls(context, 60.min(context.many), calls)
+}
+
+/// At all servers.
+pub fn by_calls_many(context: &Context, calls: usize) -> Result<Vec<f64>> {
+    by_calls(context, context.many, calls)
+}
