--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod gate;
 mod html;
 mod memory;
+mod real;
 mod results;
 mod trial;
 
@@ -40,6 +41,8 @@
     Demo(demo::Wanted),
     /// Many processes of the program under faults; exit 0 where every property held, 1 broken, 2 nothing can be said
     Trial(trial::Wanted),
+    /// What a real sidecar adds to a call, by servers known; exit 0 where the limits are kept, 1 broken, 2 nothing can be said
+    Added(real::Wanted),
     /// A stand-in of a trial
     #[command(hide = true)]
     Stand {
@@ -166,6 +169,7 @@
     match Cli::parse().command {
         Command::Demo(wanted) => demo::run(wanted),
         Command::Trial(wanted) => trial::run(wanted),
+        Command::Added(wanted) => real::run(&wanted),
         Command::Stand { stand } => dunlincleat_trial::stands::stand(stand).map(|()| ExitCode::SUCCESS),
         Command::Tether { parent, program } => match dunlincleat_trial::child::tether(parent, &program)? {},
         Command::Run { scenario, seed, seeds, policy, scale, seconds, out } => {
--- a/crates/lab/src/real.rs
+++ b/crates/lab/src/real.rs
@@ -1,6 +1,17 @@
-//! What a call has added by its sidecar: the result file of `added`, that pages are written from.
+//! What a sidecar adds to a call, by the servers that it knows: real sidecars beside stand-in servers, each call paired with
+//! one the direct way in the same run. Also the result file, that pages are written from.
 
+use crate::trial::{or_stopped, programs, ranged};
+use anyhow::{Context, Result, bail};
+use clap::Args;
+use dunlincleat_trial::audit::{Bounds, Verdict};
+use dunlincleat_trial::callers::{CALLED_SERVERS, Callers, Seen, descriptors};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
 
 /// The version of the result file.
 pub const VERSION: u32 = 1;
@@ -87,3 +98,333 @@
     /// Nothing can be said.
     Void,
 }
+
+/// What is wanted of a run.
+#[derive(Args)]
+pub struct Wanted {
+    /// Servers on the list that each sidecar is told, a point for each number, from 6 to 10000
+    #[arg(long, value_delimiter = ',', default_values_t = [60, 200, 1000, 3100])]
+    known: Vec<usize>,
+    /// Sidecars beside one another, from 0 to 16; with 0 the direct way alone is played, and nothing can be said
+    #[arg(long, default_value_t = 1)]
+    real: usize,
+    /// Calls a second through each sidecar, and as many the direct way, from 1 to 1000
+    #[arg(long, default_value_t = 223)]
+    rate: u64,
+    /// Sidecars that a call goes through; only 1 is played yet
+    #[arg(long, default_value_t = 1)]
+    depth: u64,
+    /// For how many seconds calls count in a round, from 2 to 120
+    #[arg(long, default_value_t = 20)]
+    lasts: u64,
+    /// How often each point is played, from 1 to 20
+    #[arg(long, default_value_t = 3)]
+    rounds: u64,
+    /// The seed of all that is drawn
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The sidecar's program; that beside this one where it is not told
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// Configure each sidecar with the one service that it calls
+    #[arg(long)]
+    interest: bool,
+    /// Judge by answers alone, not by times: for a machine that is too busy to tell these
+    #[arg(long)]
+    counts_only: bool,
+    /// The result file
+    #[arg(long, value_name = "FILE")]
+    out: PathBuf,
+}
+
+/// How long calls go out before any counts: connections are opened, delays are learnt.
+const WARM: Duration = Duration::from_secs(3);
+/// How long a call waits.
+const WAIT: Duration = Duration::from_millis(740);
+/// What 99 in 100 of the direct way, and of the callers' own lateness, may take for a difference to be judged.
+const DIRECT_MOST_US: f64 = 5000.0;
+/// One in so many calls may go without a 200: the rest is 99 in 100.
+const UNSERVED: u64 = 100;
+/// Calls a second of all sidecars together that the callers' one thread can send.
+const MOST_PER_S: u64 = 4000;
+/// How often the interval's seconds are drawn.
+const DRAWS: usize = 1000;
+
+/// Runs it: 0 where every point is kept, 1 where one is broken, 2 where one is void, 130 where it was ended by hand.
+pub fn run(wanted: &Wanted) -> Result<ExitCode> {
+    for known in &wanted.known {
+        ranged("known", *known as u64, CALLED_SERVERS as u64, 10_000)?;
+        descriptors(*known, wanted.real)?;
+    }
+    ranged("real", wanted.real as u64, 0, 16)?;
+    ranged("rate", wanted.rate, 1, 1000)?;
+    ranged("depth", wanted.depth, 1, 1)?;
+    ranged("lasts", wanted.lasts, 2, 120)?;
+    ranged("rounds", wanted.rounds, 1, 20)?;
+    if wanted.rate * wanted.real as u64 > MOST_PER_S {
+        bail!(
+            "--rate {} with --real {}: {} calls a second; right would be {MOST_PER_S} or fewer",
+            wanted.rate,
+            wanted.real,
+            wanted.rate * wanted.real as u64
+        );
+    }
+    let folder = wanted.out.parent().filter(|folder| !folder.as_os_str().is_empty());
+    if wanted.out.is_dir() || folder.is_some_and(|folder| !folder.is_dir()) {
+        bail!("--out: {}: right would be a file in a folder that is there", wanted.out.display());
+    }
+    let (lab, program) = programs("dunlincleat-sidecar", "--program", wanted.program.as_deref())?;
+    let callers = |known: usize, seed: u64| Callers {
+        lab: lab.clone(),
+        program: program.clone(),
+        known,
+        real: wanted.real,
+        per_s: wanted.rate as f64,
+        warm: WARM,
+        lasts: Duration::from_secs(wanted.lasts),
+        wait: WAIT,
+        interest: wanted.interest,
+        seed,
+        bounds: if wanted.counts_only {
+            Bounds { grace: 1_000_000, slack: 5_000_000, goes_on: 0, late: u64::MAX }
+        } else {
+            Bounds { grace: 1_000_000, slack: 250_000, goes_on: 0, late: 150_000 }
+        },
+    };
+    let work = async {
+        let mut seen: Vec<Vec<Seen>> = wanted.known.iter().map(|_| Vec::new()).collect();
+        for round in 0..wanted.rounds {
+            for n in 0..wanted.known.len() {
+                // Each size comes first in its turn, so that none has the machine's best time alone.
+                let n = (n + round as usize) % wanted.known.len();
+                let known = wanted.known[n];
+                // The same arrivals at each size.
+                let found = callers(known, wanted.seed.wrapping_mul(1000).wrapping_add(round)).play().await;
+                let found = found.with_context(|| format!("{known} servers known, round {round}"))?;
+                if wanted.real > 0 && found.listed != known {
+                    bail!("{known} servers known, round {round}: a sidecar was told of {}", found.listed);
+                }
+                crate::say(&format!(
+                    "round {round}: {known} known, {} of {} calls served through sidecars, {} of {} directly",
+                    found.through.served(),
+                    found.through.asked,
+                    found.direct.served(),
+                    found.direct.asked
+                ));
+                seen[n].push(found);
+            }
+        }
+        Ok(seen)
+    };
+    let Some(seen) = or_stopped(work)? else { return Ok(ExitCode::from(130)) };
+    let points: Vec<Point> =
+        wanted.known.iter().zip(&seen).map(|(known, rounds)| point(wanted, *known, rounds)).collect();
+    table(&points);
+    let code = |said| points.iter().any(|point| point.verdict == said);
+    let code = if code(Said::Broken) { 1 } else { u8::from(code(Said::Void)) * 2 };
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let added = Added {
+        v: VERSION,
+        kind: "added".to_owned(),
+        commit: commit(),
+        command: format!("dunlincleat-lab {}", arguments.join(" ")),
+        cores: std::thread::available_parallelism().map_or(0, usize::from),
+        seed: wanted.seed,
+        rounds: wanted.rounds as usize,
+        profile: if cfg!(debug_assertions) { "debug" } else { "release" }.to_owned(),
+        points,
+    };
+    let text = serde_json::to_string_pretty(&added)? + "\n";
+    std::fs::write(&wanted.out, text).with_context(|| wanted.out.display().to_string())?;
+    Ok(ExitCode::from(code))
+}
+
+/// The commit that is checked out, where that can be told.
+fn commit() -> String {
+    let told = std::process::Command::new("git").args(["rev-parse", "--short=10", "HEAD"]).output();
+    told.ok()
+        .filter(|told| told.status.success())
+        .map_or_else(String::new, |told| String::from_utf8_lossy(&told.stdout).trim().to_owned())
+}
+
+fn table(points: &[Point]) {
+    crate::say(
+        "| known | direct p50, p99 us | through p50, p99 us | added p50 us | added p99 us (95%) | processor us a call \
+         | resident MB | served, refused, lost | verdict |",
+    );
+    crate::say("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for p in points {
+        let said = format!("{:?}", p.verdict).to_lowercase();
+        crate::say(&format!(
+            "| {} | {:.0}, {:.0} | {:.0}, {:.0} | {:.0} | {:.0} ({:.0} to {:.0}) | {:.0} | {:.1} | {}, {}, {} | {said} |",
+            p.known,
+            p.direct_p50_us,
+            p.direct_p99_us,
+            p.through_p50_us,
+            p.through_p99_us,
+            p.added_p50_us,
+            p.added_p99_us,
+            p.added_p99_low_us,
+            p.added_p99_high_us,
+            p.cpu_us_a_call,
+            p.rss_bytes as f64 / 1e6,
+            p.answered,
+            p.refused,
+            p.lost,
+        ));
+    }
+    for p in points {
+        p.why.iter().for_each(|why| crate::say(&format!("{} known: {why}", p.known)));
+    }
+}
+
+/// Times of many seconds, the longest first, each with its second.
+struct Times {
+    ranked: Vec<(u64, usize)>,
+    held: Vec<u64>,
+}
+
+impl Times {
+    fn new<'a>(seconds: impl Iterator<Item = &'a Vec<u64>>) -> Times {
+        let (mut ranked, mut held) = (Vec::new(), Vec::new());
+        for (n, second) in seconds.enumerate() {
+            ranked.extend(second.iter().map(|time| (*time, n)));
+            held.push(second.len() as u64);
+        }
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        Times { ranked, held }
+    }
+
+    /// A quantile by nearest rank, of seconds that count so often each; 0 where nothing was served.
+    fn quantile(&self, of: f64, counts: &[u64]) -> f64 {
+        let total: u64 = self.held.iter().zip(counts).map(|(held, count)| held * count).sum();
+        let above = total - ((of * total as f64).ceil() as u64).clamp(u64::from(total > 0), total);
+        let mut passed = 0;
+        for (time, second) in &self.ranked {
+            passed += counts[*second];
+            if passed > above {
+                return *time as f64;
+            }
+        }
+        0.0
+    }
+}
+
+/// What a quantile has added, and the 95% interval of that: seconds are drawn again and again within their rounds, the same
+/// ones of both ways, as both met the same machine in them.
+fn added(rounds: &[Seen], direct: &Times, through: &Times, of: f64) -> (f64, f64, f64) {
+    let lengths: Vec<usize> = rounds.iter().map(|seen| seen.direct.seconds.len()).collect();
+    let differ = |counts: &[u64]| through.quantile(of, counts) - direct.quantile(of, counts);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut drawn: Vec<f64> = (0..DRAWS)
+        .map(|_| {
+            let mut counts = vec![0; lengths.iter().sum()];
+            let mut from = 0;
+            for length in &lengths {
+                (0..*length).for_each(|_| counts[from + rng.random_range(0..*length)] += 1);
+                from += length;
+            }
+            differ(&counts)
+        })
+        .collect();
+    drawn.sort_by(f64::total_cmp);
+    let all = vec![1; lengths.iter().sum()];
+    (differ(&all), drawn[DRAWS / 40], drawn[DRAWS - 1 - DRAWS / 40])
+}
+
+fn point(wanted: &Wanted, known: usize, rounds: &[Seen]) -> Point {
+    let direct = Times::new(rounds.iter().flat_map(|seen| &seen.direct.seconds));
+    let through = Times::new(rounds.iter().flat_map(|seen| &seen.through.seconds));
+    let all = vec![1; direct.held.len()];
+    let (added_p99_us, added_p99_low_us, added_p99_high_us) = added(rounds, &direct, &through, 0.99);
+    let sum = |of: &dyn Fn(&Seen) -> u64| rounds.iter().map(of).sum::<u64>();
+    let asked = sum(&|seen| seen.through.asked);
+    let processor: f64 = rounds.iter().map(|seen| seen.processor.as_secs_f64()).sum();
+    let of = |times: &Times, of: f64| times.quantile(of, &all);
+    let mut point = Point {
+        known,
+        rate: wanted.rate as f64,
+        depth: wanted.depth as usize,
+        real: wanted.real,
+        interest: wanted.interest,
+        direct_p50_us: of(&direct, 0.5),
+        direct_p99_us: of(&direct, 0.99),
+        through_p50_us: of(&through, 0.5),
+        through_p99_us: of(&through, 0.99),
+        added_p50_us: of(&through, 0.5) - of(&direct, 0.5),
+        added_p99_us,
+        added_p99_low_us,
+        added_p99_high_us,
+        cpu_us_a_call: (processor * 1e7 / asked.max(1) as f64).round() / 10.0,
+        rss_bytes: rounds.iter().map(|seen| seen.resident).max().unwrap_or(0),
+        answered: sum(&|seen| seen.through.served()),
+        refused: sum(&|seen| seen.through.refused),
+        lost: sum(&|seen| seen.through.lost),
+        verdict: Said::Kept,
+        why: Vec::new(),
+    };
+    (point.verdict, point.why) = judge(&point, rounds, wanted.counts_only);
+    point
+}
+
+/// What can be said of a point, and why it is not kept. A rule that was broken is so on any machine; a limit is judged only
+/// where the run itself was good enough for that.
+fn judge(point: &Point, rounds: &[Seen], counts_only: bool) -> (Said, Vec<String>) {
+    let (mut broken, mut void) = (Vec::new(), Vec::new());
+    for (round, seen) in rounds.iter().enumerate() {
+        match &seen.verdict {
+            Verdict::Kept => {}
+            Verdict::Broken(found) => broken.extend(found.iter().take(5).map(|fault| {
+                format!("round {round}: {}: {} ({} in all)", fault.property, fault.what, found.len())
+            })),
+            Verdict::Void(late) => void.push(format!("round {round}: the rig ran {} ms late", late / 1000)),
+        }
+        let unserved = seen.direct.asked - seen.direct.served();
+        if unserved > 0 {
+            void.push(format!("round {round}: {unserved} direct calls had no 200: the stand-ins fail"));
+        }
+    }
+    if point.answered == 0 {
+        void.push("no call was served through a sidecar".to_owned());
+    }
+    if !broken.is_empty() {
+        return (Said::Broken, broken);
+    }
+    if !counts_only {
+        let late = Times::new(rounds.iter().map(|seen| &seen.late));
+        let late = late.quantile(0.99, &vec![1; late.held.len()]);
+        if late > DIRECT_MOST_US {
+            void.push(format!("1 in 100 calls went out {late:.0} us late, over {DIRECT_MOST_US:.0}"));
+        }
+        if point.direct_p99_us > DIRECT_MOST_US {
+            let took = point.direct_p99_us;
+            void.push(format!("the direct way has {took:.0} us for 99 in 100, over {DIRECT_MOST_US:.0}"));
+        }
+    }
+    if !void.is_empty() {
+        return (Said::Void, void);
+    }
+    if counts_only {
+        return (Said::Kept, Vec::new());
+    }
+    let asked = point.answered + point.refused + point.lost;
+    if (point.refused + point.lost) * UNSERVED > asked {
+        let (refused, lost) = (point.refused, point.lost);
+        broken.push(format!("{refused} refused and {lost} lost of {asked} calls, over 1 in {UNSERVED}"));
+    }
+    let (low, high) = (point.added_p99_low_us, point.added_p99_high_us);
+    let told = format!("{:.0} us added for 99 in 100 (95% from {low:.0} to {high:.0})", point.added_p99_us);
+    if low > LIMIT_US {
+        broken.push(format!("{told}, over {LIMIT_US:.0}"));
+    }
+    if !broken.is_empty() {
+        return (Said::Broken, broken);
+    }
+    if high > LIMIT_US {
+        return (Said::Void, vec![format!("{told}: the limit of {LIMIT_US:.0} lies within")]);
+    }
+    (Said::Kept, Vec::new())
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -96,9 +96,14 @@
 
 /// Plays a trial; none where it was ended by hand, and all that it started with it.
 pub fn play_here(trial: &Trial, look: impl FnMut(&Look<'_>)) -> Result<Option<Outcome>> {
+    or_stopped(play(trial, look))
+}
+
+/// Works to the end; none where that was ended by hand, and all that it started with it.
+pub fn or_stopped<T>(work: impl Future<Output = Result<T>>) -> Result<Option<T>> {
     actix_rt::System::new().block_on(async move {
         tokio::select! {
-            outcome = play(trial, look) => outcome.map(Some),
+            done = work => done.map(Some),
             stopped = told_to_end() => {
                 stopped.context("signals")?;
                 crate::say("stopped by hand");
@@ -168,7 +173,8 @@
     }
 }
 
-fn ranged(flag: &str, value: u64, least: u64, most: u64) -> Result<()> {
+/// Proves that a flag's value is within its range.
+pub fn ranged(flag: &str, value: u64, least: u64, most: u64) -> Result<()> {
     if !(least..=most).contains(&value) {
         bail!("--{flag}: {value} is not from {least} to {most}");
     }
--- /dev/null
+++ b/crates/lab/tests/real.rs
@@ -0,0 +1,156 @@
+//! Real sidecars beside stand-in servers, as `added` measures them: by counts alone, so that a busy machine tells the same.
+
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// The lab, with the sidecar built beside it.
+fn lab() -> Command {
+    let lab = PathBuf::from(env!("CARGO_BIN_EXE_dunlincleat-lab"));
+    let build = ["build", "--locked", "-p", "dunlincleat-sidecar"];
+    let built = Command::new(env!("CARGO")).args(build).status().unwrap();
+    assert!(built.success() && lab.with_file_name("dunlincleat-sidecar").is_file());
+    Command::new(lab)
+}
+
+fn added(out: &Path, arguments: &[&str]) -> Output {
+    lab().arg("added").args(arguments).arg("--out").arg(out).output().unwrap()
+}
+
+fn points(out: &Path) -> Vec<Value> {
+    let told: Value = serde_json::from_str(&std::fs::read_to_string(out).unwrap()).unwrap();
+    assert_eq!((&told["v"], &told["kind"]), (&Value::from(1), &Value::from("added")));
+    told["points"].as_array().unwrap().clone()
+}
+
+fn number(point: &Value, key: &str) -> u64 {
+    point[key].as_u64().unwrap_or_else(|| panic!("{key} of {point}"))
+}
+
+fn lives(id: &str) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    stat.rsplit(')').next().is_some_and(|rest| !rest.is_empty() && !rest.trim().starts_with('Z'))
+}
+
+/// The processes that a run has started, once there are so many.
+fn children(run: &Child, wanted: usize) -> Vec<String> {
+    let end = Instant::now() + Duration::from_secs(20);
+    loop {
+        let path = format!("/proc/{0}/task/{0}/children", run.id());
+        let found = std::fs::read_to_string(path).unwrap_or_default();
+        let found: Vec<String> = found.split_whitespace().map(str::to_owned).collect();
+        if found.len() == wanted {
+            return found;
+        }
+        assert!(Instant::now() < end, "{} of {wanted} processes", found.len());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn all_end(children: &[String]) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while children.iter().any(|id| lives(id)) {
+        assert!(
+            Instant::now() < end,
+            "{:?} still run",
+            children.iter().filter(|id| lives(id)).collect::<Vec<_>>()
+        );
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Every call has one answer, each sidecar was told of every server (the run fails where one was not), and all that was
+/// started is gone when the run is.
+#[test]
+fn each_call_has_one_answer_and_nothing_is_left_behind() {
+    let folder = tempfile::tempdir().unwrap();
+    let out = folder.path().join("added.json");
+    let run = lab()
+        .args(["added", "--known", "60,200", "--real", "2", "--rate", "50", "--lasts", "2", "--rounds", "1"])
+        .args(["--interest", "--counts-only", "--out"])
+        .arg(&out)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let children = children(&run, 2 + 2);
+    let done = run.wait_with_output().unwrap();
+    all_end(&children);
+    let text = String::from_utf8_lossy(&done.stdout);
+    assert_eq!(done.status.code(), Some(0), "{text}{}", String::from_utf8_lossy(&done.stderr));
+    let points = points(&out);
+    assert_eq!(points.iter().map(|point| number(point, "known")).collect::<Vec<_>>(), [60, 200]);
+    for point in &points {
+        assert_eq!(point["verdict"], "kept", "{point}");
+        assert_eq!(number(point, "lost"), 0, "{point}");
+        // The same seed has the same arrivals, whatever is known: some 50 a second of each of the two, for 2 s.
+        let answers = |point: &Value| number(point, "answered") + number(point, "refused");
+        assert!(answers(point) > 100 && answers(point) == answers(&points[0]), "{point}");
+        assert!(number(point, "answered") > 0 && number(point, "rss_bytes") > 1 << 20, "{point}");
+        assert!(point["cpu_us_a_call"].as_f64().unwrap() > 0.0 && point["interest"] == true, "{point}");
+    }
+}
+
+/// Planted: with no sidecar there is nothing to compare the direct way with, and that must not look kept.
+#[test]
+fn a_run_without_a_sidecar_is_void() {
+    let folder = tempfile::tempdir().unwrap();
+    let out = folder.path().join("added.json");
+    let told =
+        ["--known", "60", "--real", "0", "--rate", "50", "--lasts", "2", "--rounds", "1", "--counts-only"];
+    let done = added(&out, &told);
+    assert_eq!(done.status.code(), Some(2), "{}", String::from_utf8_lossy(&done.stderr));
+    let points = points(&out);
+    assert_eq!(points[0]["verdict"], "void");
+    assert!(points[0]["why"][0].as_str().unwrap().contains("no call was served through a sidecar"));
+    assert!(points[0]["direct_p50_us"].as_f64().unwrap() > 0.0, "the direct way was played");
+}
+
+/// A run that is killed takes its sidecars and stand-ins with it.
+#[test]
+fn nothing_outlives_a_run_that_is_killed() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut run = lab()
+        .args(["added", "--known", "6", "--real", "3", "--lasts", "60", "--out"])
+        .arg(folder.path().join("added.json"))
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    let children = children(&run, 3 + 2);
+    run.kill().unwrap();
+    run.wait().unwrap();
+    all_end(&children);
+}
+
+/// What can't be played is refused before anything starts, with the flag, its value and what would be right.
+#[test]
+fn what_cannot_be_played_is_named() {
+    let folder = tempfile::tempdir().unwrap();
+    let out = folder.path().join("added.json");
+    let refused = |arguments: &[&str], named: &[&str]| {
+        let done = added(&out, arguments);
+        let text = String::from_utf8_lossy(&done.stderr);
+        assert_eq!(done.status.code(), Some(2), "{arguments:?}: {text}");
+        assert!(named.iter().all(|part| text.contains(part)), "{arguments:?}: {text}");
+        assert!(!out.exists());
+    };
+    refused(&["--known", "5"], &["--known", "5 is not from 6 to 10000"]);
+    refused(&["--known", "60,x"], &["--known", "'x'"]);
+    refused(&["--real", "17"], &["--real", "17 is not from 0 to 16"]);
+    refused(&["--rate", "0"], &["--rate", "0 is not from 1 to 1000"]);
+    refused(&["--depth", "24"], &["--depth", "24 is not from 1 to 1"]);
+    refused(&["--lasts", "1"], &["--lasts", "1 is not from 2 to 120"]);
+    refused(&["--rounds", "0"], &["--rounds", "0 is not from 1 to 20"]);
+    refused(&["--rate", "1000", "--real", "5"], &["--rate 1000", "--real 5", "4000 or fewer"]);
+    refused(&["--program", "/nowhere"], &["--program", "/nowhere is no program"]);
+    refused(&["--known", "6", "--program", "/bin/true"], &["6 servers known, round 0: n0", "ended at once"]);
+    // Few descriptors: refused before a stand-in fails in the middle.
+    let few = "ulimit -n 2000 && exec \"$0\" added --known 3100 --out \"$1\"";
+    let done =
+        Command::new("sh").args(["-c", few]).arg(env!("CARGO_BIN_EXE_dunlincleat-lab")).arg(&out).output();
+    let done = done.unwrap();
+    let text = String::from_utf8_lossy(&done.stderr);
+    assert_eq!(done.status.code(), Some(2), "{text}");
+    assert!(text.contains("--known 3100") && text.contains("allows 2000; right would be"), "{text}");
+}
--- /dev/null
+++ b/crates/trial/src/callers.rs
@@ -0,0 +1,414 @@
+//! Callers beside real sidecars that know many servers: each call goes out twice, once the direct way to the stand-in servers
+//! and once through the sidecar, within half a gap of each other and in an order that is drawn, so that both meet the same
+//! machine. Times are from when a call was due (coordinated omission).
+//!
+//! The servers are one process with an address of its own for each, as of two servers at one address a sidecar takes one
+//! for gone. They answer at once: what is looked for is what the way adds. A few of them are the service that is called;
+//! the direct way leads to these, through kept connections. A sidecar that knows no services may call any.
+
+use crate::audit::{Bounds, Verdict, judge};
+use crate::history::{Answer, What};
+use crate::load::{MOST, One, client};
+use crate::relay::Target;
+use crate::rig::{Do, History, Instance, PATIENCE, Stand, Times, config, watch_timers};
+use crate::stands::{Listed, Order, form};
+use anyhow::{Context, Result, anyhow, bail};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use rustix::process::{Resource, getrlimit};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// The service that is called.
+pub const CALLED: &str = "called";
+/// Its servers among all that are known.
+pub const CALLED_SERVERS: usize = 6;
+/// Services that the rest of 3,100 belong to, as the plan has it; fewer where fewer are known.
+const SERVICES: usize = 489;
+/// Descriptors of a stand-in beside its listeners and connections.
+const SPARE: u64 = 64;
+
+/// Callers, their sidecars and what these know.
+pub struct Callers {
+    /// The program that holds the stand-ins and the tie.
+    pub lab: PathBuf,
+    /// The sidecar's program.
+    pub program: PathBuf,
+    /// Servers that each sidecar is told of.
+    pub known: usize,
+    /// Sidecars, each with a caller; with none only the direct way is played, by one caller.
+    pub real: usize,
+    /// Calls a second of each caller, each way.
+    pub per_s: f64,
+    /// For how long calls go out before any counts.
+    pub warm: Duration,
+    /// For how long calls count.
+    pub lasts: Duration,
+    /// How long a call waits.
+    pub wait: Duration,
+    /// Sidecars are told that they call one service.
+    pub interest: bool,
+    /// The seed of all that is drawn.
+    pub seed: u64,
+    /// What is judged by.
+    pub bounds: Bounds,
+}
+
+/// How a call went out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum By {
+    /// To a server.
+    Direct,
+    /// To the caller's sidecar.
+    Sidecar,
+}
+
+/// What became of the calls of one way that count.
+#[derive(Clone, Debug, Default)]
+pub struct Side {
+    /// Due.
+    pub asked: u64,
+    /// Answered 429 or 503.
+    pub refused: u64,
+    /// Any other answer but 200, none that is whole, or not sent as too many were out.
+    pub lost: u64,
+    /// Of each second, microseconds until each that was served had its answer, from when it was due.
+    pub seconds: Vec<Vec<u64>>,
+}
+
+impl Side {
+    /// Answered 200.
+    #[must_use]
+    pub fn served(&self) -> u64 {
+        self.seconds.iter().map(|second| second.len() as u64).sum()
+    }
+}
+
+/// What was seen of one play.
+pub struct Seen {
+    /// The direct way.
+    pub direct: Side,
+    /// Through the sidecars.
+    pub through: Side,
+    /// How late each call that counts went out, in microseconds.
+    pub late: Vec<u64>,
+    /// Processor time of all sidecars while calls counted.
+    pub processor: Duration,
+    /// The most memory that one of them had resident when the last call had gone out, in bytes.
+    pub resident: u64,
+    /// Entries that the list wrote to the sidecar that it wrote least to.
+    pub listed: usize,
+    /// What the auditor says of all that was seen.
+    pub verdict: Verdict,
+}
+
+/// Whether this many descriptors are allowed to the stand-in that needs most.
+///
+/// # Errors
+///
+/// They are not: names the need, the limit and what would be right.
+pub fn descriptors(known: usize, real: usize) -> Result<()> {
+    // A connection of each call that may be out, of each caller, both ways; an idle one for each is kept.
+    let needed = known as u64 + (real.max(1) * 2 * MOST) as u64 + SPARE;
+    match getrlimit(Resource::Nofile).current {
+        Some(allowed) if allowed < needed => bail!(
+            "--known {known} with --real {real}: the stand-in servers need {needed} descriptors, `ulimit -n` allows \
+             {allowed}; right would be a limit of {needed} or fewer servers"
+        ),
+        _ => Ok(()),
+    }
+}
+
+/// The servers that a sidecar is told of: those of the called service spread evenly among those of others.
+fn listed(on: &[SocketAddr]) -> Vec<Listed> {
+    let known = on.len();
+    let called: Vec<usize> = (0..CALLED_SERVERS).map(|n| n * known / CALLED_SERVERS).collect();
+    let services = (known * SERVICES).div_ceil(3100).max(1);
+    let entry = |(n, at): (usize, &SocketAddr)| {
+        let model = if called.contains(&n) { CALLED.to_owned() } else { format!("svc-{:03}", n % services) };
+        Listed { uid: crate::stands::name(n), at: *at, model }
+    };
+    on.iter().enumerate().map(entry).collect()
+}
+
+/// A call that is due.
+struct Due {
+    after: Duration,
+    caller: usize,
+    by: By,
+    one: One,
+}
+
+impl Callers {
+    /// All calls, drawn beforehand. A pair is due at times of a Poisson process; one of the two comes half a mean gap later.
+    fn draw(&self, start: Instant, rng: &mut SmallRng) -> Result<Vec<Due>> {
+        let gaps = Exp::new(self.per_s).context("calls a second")?;
+        let apart = Duration::from_secs_f64(0.5 / self.per_s);
+        let mut all = Vec::new();
+        for caller in 0..self.real.max(1) {
+            let mut at = Duration::ZERO;
+            loop {
+                at += Duration::from_secs_f64(gaps.sample(rng));
+                if at >= self.warm + self.lasts {
+                    break;
+                }
+                let mut ways = [By::Direct, By::Sidecar];
+                if rng.random() {
+                    ways.reverse();
+                }
+                for (by, after) in ways.into_iter().zip([at, at + apart]) {
+                    let one = One::draw(rng, self.wait, (start + after).into());
+                    if by == By::Direct || self.real > 0 {
+                        all.push(Due { after, caller, by, one });
+                    }
+                }
+            }
+        }
+        all.sort_by_key(|due| due.after);
+        Ok(all)
+    }
+
+    /// Plays to the last answer. All that was started has ended when this returns, or is dropped.
+    ///
+    /// # Errors
+    ///
+    /// A process can't be started, or a sidecar is not told of all servers in time.
+    pub async fn play(&self) -> Result<Seen> {
+        if self.known < CALLED_SERVERS {
+            bail!("{} servers known; right would be {CALLED_SERVERS} or more", self.known);
+        }
+        descriptors(self.known, self.real)?;
+        let history: History = Rc::default();
+        let mut rng = SmallRng::seed_from_u64(self.seed);
+        let servers = Stand::start(&self.lab, &["many", &self.known.to_string()], &history).await?;
+        let listed = listed(&servers.on);
+        let called: Vec<SocketAddr> =
+            listed.iter().filter(|server| server.model == CALLED).map(|server| server.at).collect();
+        let names: Vec<String> = (0..self.real).map(|n| format!("n{n}")).collect();
+        let arguments: Vec<&str> = ["list"].into_iter().chain(names.iter().map(String::as_str)).collect();
+        let mut list = Stand::start(&self.lab, &arguments, &history).await?;
+        let hold = names.iter().map(|name| (name.clone(), listed.clone())).collect();
+        list.tell(&Order::Hold(hold)).await?;
+        seen(&history, "the list holds nothing", |what| matches!(what, What::Held)).await?;
+
+        let mut sidecars = Vec::new();
+        for (n, name) in names.iter().enumerate() {
+            sidecars.push(self.sidecar(name, list.on[n], rng.random(), &history).await?);
+        }
+        for name in &names {
+            let all = |what: &What| matches!(what, What::Listed { to, servers } if to == name && *servers == self.known);
+            seen(&history, &format!("{name} is not told of all servers"), all).await?;
+        }
+        let processes: Vec<u32> = history.borrow().iter().filter_map(|event| process(&event.what)).collect();
+
+        let watches = watch_timers(history.clone());
+        let (at, client) = (sidecars.iter().map(|sidecar| sidecar.at.clone()).collect(), client(self.wait));
+        let calls = Calls { names, at, called, client, history: history.clone(), rng, warm: self.warm };
+        let done = calls.through(self, &processes).await?;
+        watches.abort();
+        for sidecar in sidecars {
+            let _ = sidecar.orders.send(Do::End);
+            timeout(PATIENCE, sidecar.task).await.context("a sidecar does not end")??;
+        }
+        servers.end().await?;
+        list.end().await?;
+        let mut history = history.take();
+        history.sort_by_key(|event| event.at);
+        let mut told: BTreeMap<&str, usize> = BTreeMap::new();
+        for event in &history {
+            if let What::Listed { to, servers } = &event.what {
+                let most = told.entry(to).or_default();
+                *most = (*most).max(*servers);
+            }
+        }
+        let listed = told.values().copied().min().unwrap_or(0);
+        let verdict = judge(&history, self.bounds);
+        let Done { direct, through, late, processor, resident } = done;
+        Ok(Seen { direct, through, late, processor, resident, listed, verdict })
+    }
+
+    /// Starts a sidecar that knows no server but by the list, and waits until it serves.
+    async fn sidecar(&self, name: &str, list: SocketAddr, seed: u64, history: &History) -> Result<Sidecar> {
+        let folder = tempfile::tempdir()?;
+        let times = Times { aim: Duration::from_millis(300), wait: self.wait, grace: self.bounds.grace };
+        let mut config = config(times, name, list, &form(std::iter::empty(), true, 0), seed);
+        if self.interest {
+            config["sidecar"] = json!({"services": [CALLED]});
+        }
+        std::fs::write(folder.path().join("config.json"), config.to_string())?;
+        let at = Rc::new(Cell::new(None));
+        let instance = Instance {
+            lab: self.lab.clone(),
+            program: self.program.clone(),
+            arguments: Vec::new(),
+            name: name.to_owned(),
+            folder: folder.path().to_owned(),
+            log: None,
+            at: at.clone(),
+            history: history.clone(),
+            process: None,
+            told: false,
+            member: Target::default(),
+            plant: None,
+        };
+        let (orders, mail) = unbounded_channel();
+        let (begun, mut begins) = watch::channel(None);
+        let task = actix_rt::spawn(instance.run(mail, begun));
+        let begun = begins.wait_for(Option::is_some).await.map_err(|_| anyhow!("{name} was not started"))?;
+        if let Some(Err(error)) = &*begun {
+            bail!("{name}: {error}");
+        }
+        // It has read what it was told, and a rig that is killed leaves no folder behind.
+        drop(folder);
+        Ok(Sidecar { orders, at, task })
+    }
+}
+
+/// A sidecar that serves.
+struct Sidecar {
+    orders: tokio::sync::mpsc::UnboundedSender<Do>,
+    at: Rc<Cell<Option<SocketAddr>>>,
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+fn process(what: &What) -> Option<u32> {
+    if let What::Up { process, .. } = what { Some(*process) } else { None }
+}
+
+/// Waits until something was seen.
+async fn seen(history: &History, else_: &str, what: impl Fn(&What) -> bool) -> Result<()> {
+    let until = async {
+        while !history.borrow().iter().any(|event| what(&event.what)) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, until).await.with_context(|| else_.to_owned())
+}
+
+/// The callers at work.
+struct Calls {
+    names: Vec<String>,
+    at: Vec<Rc<Cell<Option<SocketAddr>>>>,
+    called: Vec<SocketAddr>,
+    client: awc::Client,
+    history: History,
+    rng: SmallRng,
+    warm: Duration,
+}
+
+/// What became of the calls.
+struct Done {
+    direct: Side,
+    through: Side,
+    late: Vec<u64>,
+    processor: Duration,
+    resident: u64,
+}
+
+impl Calls {
+    /// Sends all that is due, whether or not earlier ones are answered, and waits for the last answer.
+    async fn through(mut self, callers: &Callers, processes: &[u32]) -> Result<Done> {
+        // The clock of a runtime counts whole milliseconds; a thread's sleep is late by less than a tenth of one.
+        let start = Instant::now() + Duration::from_millis(50);
+        let mut due = clock(start, callers.draw(start, &mut self.rng)?);
+        let seconds = usize::try_from(callers.lasts.as_secs()).unwrap_or(0).max(1);
+        let side = || Rc::new(RefCell::new(Side { seconds: vec![Vec::new(); seconds], ..Side::default() }));
+        let (direct, through) = (side(), side());
+        let places = std::sync::Arc::new(Semaphore::new(MOST * 2 * callers.real.max(1)));
+        let (mut late, mut out, mut began) = (Vec::new(), Vec::new(), None);
+        while let Some(Due { after, caller, by, one }) = due.recv().await {
+            let counts = after.checked_sub(self.warm);
+            if counts.is_some() {
+                if began.is_none() {
+                    began = Some(processor_time(processes)?);
+                }
+                late.push((start + after).elapsed().as_micros() as u64);
+            }
+            let side = if by == By::Direct { &direct } else { &through };
+            let at = match by {
+                By::Direct => Some(self.called[self.rng.random_range(0..self.called.len())]),
+                By::Sidecar => self.at[caller].get(),
+            };
+            if counts.is_some() {
+                side.borrow_mut().asked += 1;
+            }
+            let (Some(at), Ok(place)) = (at, places.clone().try_acquire_owned()) else {
+                side.borrow_mut().lost += u64::from(counts.is_some());
+                continue;
+            };
+            let (client, history, side) = (self.client.clone(), self.history.clone(), side.clone());
+            let name = match by {
+                By::Direct => "direct".to_owned(),
+                By::Sidecar => self.names[caller].clone(),
+            };
+            out.push(actix_rt::spawn(async move {
+                let (answer, took) = one.ask(&client, at, &name, &history).await;
+                drop(place);
+                let Some(counts) = counts else { return };
+                let mut side = side.borrow_mut();
+                let second = usize::try_from(counts.as_secs()).unwrap_or(0).min(seconds - 1);
+                match answer {
+                    Answer::Served(_) => side.seconds[second].push(took.as_micros() as u64),
+                    Answer::Refused => side.refused += 1,
+                    Answer::Failed | Answer::Broken(_) => side.lost += 1,
+                }
+            }));
+            if out.len() > 2 * MOST {
+                out.retain(|task| !task.is_finished());
+            }
+        }
+        let began = began.context("no call was due")?;
+        let processor = processor_time(processes).unwrap_or(began).saturating_sub(began);
+        let resident = processes.iter().filter_map(|process| resident(*process)).max().unwrap_or(0);
+        for task in out {
+            let _ = task.await;
+        }
+        Ok(Done { direct: direct.take(), through: through.take(), late, processor, resident })
+    }
+}
+
+/// Gives each call when it is due; ends where nobody listens any more.
+fn clock(start: Instant, all: Vec<Due>) -> UnboundedReceiver<Due> {
+    let (tell, due) = unbounded_channel();
+    std::thread::spawn(move || {
+        for one in all {
+            std::thread::sleep((start + one.after).saturating_duration_since(Instant::now()));
+            if tell.send(one).is_err() {
+                return;
+            }
+        }
+    });
+    due
+}
+
+/// Processor time of processes until now, of all their threads.
+fn processor_time(processes: &[u32]) -> Result<Duration> {
+    let mut sum = 0;
+    for process in processes {
+        let threads = std::fs::read_dir(format!("/proc/{process}/task"));
+        for thread in threads.with_context(|| format!("process {process}: its threads"))? {
+            let path = thread?.path().join("schedstat");
+            let text = std::fs::read_to_string(&path).with_context(|| path.display().to_string())?;
+            let first = text.split_whitespace().next().and_then(|n| n.parse::<u64>().ok());
+            sum += first.with_context(|| format!("{}: '{text}' has no time", path.display()))?;
+        }
+    }
+    Ok(Duration::from_nanos(sum))
+}
+
+/// Memory that a process has resident, in bytes.
+fn resident(process: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    Some(line.split_whitespace().next()?.parse::<u64>().ok()? * 1024)
+}
--- a/crates/trial/src/history.rs
+++ b/crates/trial/src/history.rs
@@ -61,6 +61,15 @@
         /// The server.
         server: String,
     },
+    /// The list holds what it was told to hold.
+    Held,
+    /// The list wrote entries to an instance.
+    Listed {
+        /// The instance.
+        to: String,
+        /// How many.
+        servers: usize,
+    },
     /// The rig did something to a process or a way.
     Did {
         /// What.
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -12,6 +12,7 @@
 #![forbid(unsafe_code)]
 
 pub mod audit;
+pub mod callers;
 pub mod child;
 pub mod clock;
 pub mod figures;
--- a/crates/trial/src/load.rs
+++ b/crates/trial/src/load.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep_until};
 
 /// Requests out at a time at the most; one beyond is not sent, and counted.
-const MOST: usize = 512;
+pub(crate) const MOST: usize = 512;
 
 /// What became of a second's requests.
 pub struct Second {
@@ -72,12 +72,7 @@
 impl Application {
     /// Asks until the time is over and all is answered.
     pub async fn ask(self, rate: Rate, mut rng: SmallRng) {
-        let connector = awc::Connector::new().limit(MOST);
-        let client = awc::Client::builder()
-            .connector(connector)
-            .timeout(rate.wait + Duration::from_secs(5))
-            .no_default_headers()
-            .finish();
+        let client = client(rate.wait);
         let places = std::sync::Arc::new(Semaphore::new(MOST));
         let gaps = Exp::new(rate.per_s).ok();
         let mut due = Instant::now();
@@ -88,7 +83,7 @@
             if due >= ends {
                 break;
             }
-            let (class, number) = (rng.random_range(0..10), rng.random::<u64>());
+            let one = One::draw(&mut rng, rate.wait, due);
             sleep_until(due).await;
             let Some(at) = self.at.get() else { continue };
             let Ok(place) = places.clone().try_acquire_owned() else {
@@ -96,9 +91,10 @@
                 continue;
             };
             let (client, application) = (client.clone(), self.clone());
-            let one = One { id: format!("{number:016x}"), class, wait: rate.wait, due };
             out.push(actix_rt::spawn(async move {
-                one.ask(&client, at, &application).await;
+                application.now.borrow_mut().asked += 1;
+                let (answer, took) = one.ask(&client, at, &application.name, &application.history).await;
+                application.count(&answer, took);
                 drop(place);
             }));
             if out.len() > 2 * MOST {
@@ -110,13 +106,29 @@
         }
     }
 
-    fn saw(&self, what: What) {
-        self.history.borrow_mut().push(Event::now(what));
+    fn count(&self, answer: &Answer, took: Duration) {
+        let mut now = self.now.borrow_mut();
+        match answer {
+            Answer::Served(_) => {
+                now.served += 1;
+                now.times.saturating_record(took.as_micros() as u64);
+            }
+            Answer::Refused => now.refused += 1,
+            Answer::Failed | Answer::Broken(_) => now.failed += 1,
+        }
     }
 }
 
+/// A client whose requests are out for no more than a wait and five seconds, `MOST` of them at a time.
+pub(crate) fn client(wait: Duration) -> awc::Client {
+    let connector = awc::Connector::new().limit(MOST);
+    let timeout = wait + Duration::from_secs(5);
+    awc::Client::builder().connector(connector).timeout(timeout).no_default_headers().finish()
+}
+
 /// A request that is due.
-struct One {
+#[derive(Clone)]
+pub(crate) struct One {
     id: String,
     class: u32,
     wait: Duration,
@@ -124,7 +136,21 @@
 }
 
 impl One {
-    async fn ask(self, client: &awc::Client, at: SocketAddr, application: &Application) {
+    /// One of any class.
+    pub(crate) fn draw(rng: &mut SmallRng, wait: Duration, due: Instant) -> One {
+        let (class, number) = (rng.random_range(0..10), rng.random::<u64>());
+        One { id: format!("{number:016x}"), class, wait, due }
+    }
+
+    /// Sends it; gives its answer, and how long after it was due that came.
+    pub(crate) async fn ask(
+        self,
+        client: &awc::Client,
+        at: SocketAddr,
+        by: &str,
+        history: &RefCell<Vec<Event>>,
+    ) -> (Answer, Duration) {
+        let saw = |what: What| history.borrow_mut().push(Event::now(what));
         let One { id, class, wait, due } = self;
         // Six of ten are safe to repeat, two keyed, two unsafe.
         let (path, once) = match class {
@@ -144,9 +170,8 @@
                 _ => request.send_body("{}"),
             }
         };
-        application.now.borrow_mut().asked += 1;
-        let by = application.name.clone();
-        application.saw(What::Asked { by, id: id.clone(), once, wait: wait.as_micros() as u64 });
+        let by = by.to_owned();
+        saw(What::Asked { by, id: id.clone(), once, wait: wait.as_micros() as u64 });
         let mut sent = send().await;
         // The sidecar may close a connection between requests. One that crosses that, of which nothing was sent, is sent once more
         // on a new connection, as the protocol has it.
@@ -163,16 +188,7 @@
             Err(error) => Answer::Broken(error.to_string()),
         };
         let took = due.elapsed();
-        let mut now = application.now.borrow_mut();
-        match &answer {
-            Answer::Served(_) => {
-                now.served += 1;
-                now.times.saturating_record(took.as_micros() as u64);
-            }
-            Answer::Refused => now.refused += 1,
-            Answer::Failed | Answer::Broken(_) => now.failed += 1,
-        }
-        drop(now);
-        application.saw(What::Answered { id, answer });
+        saw(What::Answered { id, answer: answer.clone() });
+        (answer, took)
     }
 }
--- a/crates/trial/src/rig.rs
+++ b/crates/trial/src/rig.rs
@@ -7,7 +7,7 @@
 use crate::load::{Application, Rate, Second};
 use crate::relay::{Target, Ways};
 use crate::schedule::{Disk, Fault, Schedule};
-use crate::stands::{Order, form};
+use crate::stands::{Listed, Order, form};
 use anyhow::{Context, Result, anyhow, bail};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -26,7 +26,7 @@
 use tokio::time::{Instant, interval, sleep, sleep_until, timeout};
 
 /// How long the program may take to begin, and to end.
-const PATIENCE: Duration = Duration::from_secs(20);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 /// How long the platform goes on sending to a sidecar that it told to end, and when it kills one that has not.
 const SENDS_ON: Duration = Duration::from_millis(300);
 const KILLS_AFTER: Duration = Duration::from_secs(5);
@@ -101,22 +101,23 @@
 }
 
 /// All that is seen.
-type History = Rc<RefCell<Vec<Event>>>;
+pub(crate) type History = Rc<RefCell<Vec<Event>>>;
 
-fn saw(history: &History, what: What) {
+pub(crate) fn saw(history: &History, what: What) {
     history.borrow_mut().push(Event::now(what));
 }
 
 /// A stand-in's process.
-struct Stand {
+pub(crate) struct Stand {
     process: Process,
     orders: ChildStdin,
-    on: Vec<SocketAddr>,
+    /// Where it listens.
+    pub(crate) on: Vec<SocketAddr>,
     reads: actix_rt::task::JoinHandle<()>,
 }
 
 impl Stand {
-    async fn start(lab: &Path, arguments: &[&str], history: &History) -> Result<Stand> {
+    pub(crate) async fn start(lab: &Path, arguments: &[&str], history: &History) -> Result<Stand> {
         let whole: Vec<&str> = ["stand"].into_iter().chain(arguments.iter().copied()).collect();
         let mut process = Process::start(lab, lab, &whole, &[])?;
         let (orders, out, errors) = process.streams()?;
@@ -143,13 +144,13 @@
         Ok(Stand { process, orders, on, reads })
     }
 
-    async fn tell(&mut self, order: &Order) -> Result<()> {
+    pub(crate) async fn tell(&mut self, order: &Order) -> Result<()> {
         let line = serde_json::to_string(order)? + "\n";
         self.orders.write_all(line.as_bytes()).await.context("a stand-in takes no orders")
     }
 
     /// Lets it end, and reads what it saw to the last line.
-    async fn end(self) -> Result<()> {
+    pub(crate) async fn end(self) -> Result<()> {
         self.process.signal(Signal::CONT);
         drop(self.orders);
         timeout(PATIENCE, self.reads).await.context("a stand-in does not end")??;
@@ -158,31 +159,31 @@
 }
 
 /// What an instance is told to do.
-enum Do {
+pub(crate) enum Do {
     Fault(Fault),
     /// The platform ends it, and nothing comes after.
     End,
 }
 
 /// An instance: its process, where it is alive, and what it is started with.
-struct Instance {
-    lab: PathBuf,
-    program: PathBuf,
-    arguments: Vec<String>,
-    name: String,
-    folder: PathBuf,
-    log: Option<PathBuf>,
-    at: Rc<Cell<Option<SocketAddr>>>,
-    history: History,
-    process: Option<Process>,
-    told: bool,
+pub(crate) struct Instance {
+    pub(crate) lab: PathBuf,
+    pub(crate) program: PathBuf,
+    pub(crate) arguments: Vec<String>,
+    pub(crate) name: String,
+    pub(crate) folder: PathBuf,
+    pub(crate) log: Option<PathBuf>,
+    pub(crate) at: Rc<Cell<Option<SocketAddr>>>,
+    pub(crate) history: History,
+    pub(crate) process: Option<Process>,
+    pub(crate) told: bool,
     /// Where it is heard as a member.
-    member: Target,
-    plant: Option<String>,
+    pub(crate) member: Target,
+    pub(crate) plant: Option<String>,
 }
 
 impl Instance {
-    async fn run(
+    pub(crate) async fn run(
         mut self,
         mut orders: UnboundedReceiver<Do>,
         begun: watch::Sender<Option<Result<(), String>>>,
@@ -429,13 +430,17 @@
     for (n, name) in trial.instances.iter().enumerate() {
         let mut reached = Vec::new();
         for (server, stand) in &servers {
-            reached.push((server.clone(), ways.tcp(name, server, fixed(stand.on[0])).await?));
+            // The first is the one that keeps what duties do.
+            let model = if server == "s0" { "ledger" } else { "" }.to_owned();
+            let at = ways.tcp(name, server, fixed(stand.on[0])).await?;
+            reached.push(Listed { uid: server.clone(), at, model });
         }
         let discovery = ways.tcp(name, "list", fixed(list.on[n])).await?;
         let folder = folder.path().join(name);
         std::fs::create_dir_all(&folder)?;
-        let known = form(reached.iter().map(|(server, at)| (server.as_str(), *at, "up")), true, 1);
-        let mut config = config(trial, name, discovery, &known, rng.random());
+        let known = form(reached.iter().map(|listed| (listed, "up")), true, 1);
+        let times = Times { aim: trial.aim, wait: trial.rate.wait, grace: trial.bounds.grace };
+        let mut config = config(times, name, discovery, &known, rng.random());
         if let Some(fleet) = &trial.fleet {
             let mut voters = Vec::new();
             for voter in &trial.instances[..fleet.voters.min(trial.instances.len())] {
@@ -495,17 +500,7 @@
         let application = Application { name, at, history, now };
         asking.push(actix_rt::spawn(application.ask(trial.rate, SmallRng::from_rng(&mut rng))));
     }
-    let watched = history.clone();
-    let watches = actix_rt::spawn(async move {
-        loop {
-            let due = Instant::now() + LOOK;
-            sleep_until(due).await;
-            let by = due.elapsed().as_micros() as u64;
-            if by > 10_000 {
-                saw(&watched, What::Late { by });
-            }
-        }
-    });
+    let watches = watch_timers(history.clone());
     let rig = Rig { ways: ways.clone(), instances, servers, history: history.clone() };
     rig.through(trial, &mut list, asking, &now, &mut look).await?;
     ways.mend();
@@ -524,6 +519,20 @@
     Ok(Outcome { verdict, history, start })
 }
 
+/// Notes where the rig's own timers run late, until it is aborted.
+pub(crate) fn watch_timers(history: History) -> actix_rt::task::JoinHandle<()> {
+    actix_rt::spawn(async move {
+        loop {
+            let due = Instant::now() + LOOK;
+            sleep_until(due).await;
+            let by = due.elapsed().as_micros() as u64;
+            if by > 10_000 {
+                saw(&history, What::Late { by });
+            }
+        }
+    })
+}
+
 /// An instance's orders, and where it serves.
 type Handle = (UnboundedSender<Do>, Rc<Cell<Option<SocketAddr>>>);
 
@@ -614,16 +623,27 @@
     }
 }
 
+/// What the classes of an instance's requests are held to.
+#[derive(Clone, Copy)]
+pub(crate) struct Times {
+    /// What answers are wanted within.
+    pub(crate) aim: Duration,
+    /// How long a request waits.
+    pub(crate) wait: Duration,
+    /// How long a drained server may still be sent to, in microseconds.
+    pub(crate) grace: u64,
+}
+
 /// What an instance is told at its start.
-fn config(
-    trial: &Trial,
+pub(crate) fn config(
+    times: Times,
     name: &str,
     discovery: SocketAddr,
     known: &serde_json::Value,
     seed: u64,
 ) -> serde_json::Value {
     let class = |name: &str, semantics: &str| {
-        json!({"name": name, "aim": trial.aim.as_micros() as u64, "deadline": trial.rate.wait.as_micros() as u64,
+        json!({"name": name, "aim": times.aim.as_micros() as u64, "deadline": times.wait.as_micros() as u64,
             "gain": 1.0, "late_worth": 0.5, "semantics": semantics, "group": "all", "window": 5_000_000})
     };
     json!({
@@ -633,7 +653,7 @@
             "zones": ["here"], "stats": {"fields": ["inflight", "queue", "util"], "how": "inline"},
             "limits": {"try_limit": 4, "probes": true, "cancel": true, "connect_timeout": 200_000},
             "deductions": {"probe": 0.02},
-            "safety": {"drain_grace": trial.bounds.grace},
+            "safety": {"drain_grace": times.grace},
             "classes": [class("read", "retryable"), class("pay", "dedup"), class("book", "fragile")],
         },
     })
--- a/crates/trial/src/stands.rs
+++ b/crates/trial/src/stands.rs
@@ -48,6 +48,11 @@
         #[arg(long)]
         any_fence: bool,
     },
+    /// Many servers in one process, named `k0000` and on, each at an address of its own, that answer at once
+    Many {
+        /// How many
+        servers: usize,
+    },
     /// The list, with an address for each instance
     List {
         /// The instances
@@ -59,8 +64,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Order {
-    /// What each instance is to be told of: servers and where it reaches them.
-    Hold(BTreeMap<String, Vec<(String, SocketAddr)>>),
+    /// What each instance is to be told of.
+    Hold(BTreeMap<String, Vec<Listed>>),
     /// A server is in this state now.
     Tell {
         /// The server.
@@ -70,6 +75,30 @@
     },
 }
 
+/// A server as an instance is told of it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Listed {
+    /// Its name.
+    pub uid: String,
+    /// Where the instance reaches it.
+    pub at: SocketAddr,
+    /// The service that it belongs to.
+    pub model: String,
+}
+
+/// The address of the nth of many servers: all of the loopback net, one for each.
+#[must_use]
+pub fn address(n: usize) -> Ipv4Addr {
+    let [.., a, b, c] = (n as u64 + 1).to_be_bytes();
+    Ipv4Addr::new(127, a.wrapping_add(1), b, c)
+}
+
+/// The name of the nth of many servers.
+#[must_use]
+pub fn name(n: usize) -> String {
+    format!("k{n:04}")
+}
+
 /// Writes what was seen. A rig that does not read it any more has gone, and so does the stand-in.
 fn saw(what: What) {
     let line = serde_json::to_string(&Event::now(what)).unwrap_or_default();
@@ -87,8 +116,18 @@
     actix_rt::System::new().block_on(async move {
         let list = match stand {
             Stand::Server { name, seed, any_fence } => {
-                let state = Rc::new(Server::new(name, seed, any_fence));
-                let on = vec![listen(move |request| serve(state.clone(), request)).await?];
+                let state = Rc::new(Server::new(name, Some(seed), any_fence));
+                let on =
+                    vec![listen(Ipv4Addr::LOCALHOST, move |request| serve(state.clone(), request)).await?];
+                saw(What::Listens { on });
+                None
+            }
+            Stand::Many { servers } => {
+                let mut on = Vec::new();
+                for n in 0..servers {
+                    let state = Rc::new(Server::new(name(n), None, false));
+                    on.push(listen(address(n), move |request| serve(state.clone(), request)).await?);
+                }
                 saw(What::Listens { on });
                 None
             }
@@ -106,12 +145,12 @@
 }
 
 /// Serves on a port of the system's choice until this process ends.
-async fn listen<F, S>(handler: F) -> Result<SocketAddr>
+async fn listen<F, S>(address: Ipv4Addr, handler: F) -> Result<SocketAddr>
 where
     F: Fn(Request) -> S + Clone + 'static,
     S: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
 {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let listener = TcpListener::bind((address, 0)).await.with_context(|| format!("{address}: a listener"))?;
     let at = listener.local_addr()?;
     let service = HttpService::build()
         .keep_alive(KeepAlive::Os)
@@ -153,16 +192,17 @@
     name: String,
     cores: Semaphore,
     in_hand: Cell<usize>,
-    rng: RefCell<SmallRng>,
+    /// What its times are drawn from; one without answers at once.
+    rng: Option<RefCell<SmallRng>>,
     /// The highest fence and period of each duty that it carried out.
     fences: RefCell<BTreeMap<String, (u64, u64)>>,
     any_fence: bool,
 }
 
 impl Server {
-    fn new(name: String, seed: u64, any_fence: bool) -> Server {
-        let (cores, in_hand, rng) =
-            (Semaphore::new(CORES), Cell::new(0), RefCell::new(SmallRng::seed_from_u64(seed)));
+    fn new(name: String, seed: Option<u64>, any_fence: bool) -> Server {
+        let (cores, in_hand) = (Semaphore::new(CORES), Cell::new(0));
+        let rng = seed.map(|seed| RefCell::new(SmallRng::seed_from_u64(seed)));
         Server { name, cores, in_hand, rng, fences: RefCell::default(), any_fence }
     }
 
@@ -220,13 +260,15 @@
     server.in_hand.set(server.in_hand.get() + 1);
     let _in_hand = InHand(server.clone());
     let Ok(_core) = server.cores.acquire().await else { return Ok(Response::new(StatusCode::BAD_GATEWAY)) };
-    let takes = LogNormal::new(1.6, 0.5).map_or(5.0, |d| d.sample(&mut *server.rng.borrow_mut()));
-    sleep(Duration::from_secs_f64(takes / 1e3)).await;
+    if let Some(rng) = &server.rng {
+        let takes = LogNormal::new(1.6, 0.5).map_or(5.0, |d| d.sample(&mut *rng.borrow_mut()));
+        sleep(Duration::from_secs_f64(takes / 1e3)).await;
+    }
     Ok(answer_of(StatusCode::OK, body, &[("x-server-load", server.load())]))
 }
 
-/// What an instance is told of: servers, where it reaches them, their state and since which revision.
-type Entries = BTreeMap<String, (SocketAddr, String, u64)>;
+/// What an instance is told of: servers by name, their state and since which revision.
+type Entries = BTreeMap<String, (Listed, String, u64)>;
 
 /// Discovery: a list with changes, told to each instance at an address of its own.
 struct List {
@@ -246,7 +288,7 @@
                 let told = told.clone();
                 async move { Ok(of.answer(&request, told)) }
             };
-            on.push(listen(handler).await?);
+            on.push(listen(Ipv4Addr::LOCALHOST, handler).await?);
         }
         saw(What::Listens { on });
         Ok(List { held, rev })
@@ -255,11 +297,13 @@
     fn follow(&self, order: Order) {
         match order {
             Order::Hold(all) => {
-                let entries = |servers: Vec<(String, SocketAddr)>| {
-                    servers.into_iter().map(|(name, at)| (name, (at, "up".to_owned(), 1))).collect()
+                let entries = |servers: Vec<Listed>| {
+                    let entry = |listed: Listed| (listed.uid.clone(), (listed, "up".to_owned(), 1));
+                    servers.into_iter().map(entry).collect()
                 };
                 *self.held.borrow_mut() =
                     all.into_iter().map(|(to, servers)| (to, entries(servers))).collect();
+                saw(What::Held);
             }
             Order::Tell { server, state } => {
                 let rev = *self.rev.borrow() + 1;
@@ -274,12 +318,10 @@
     }
 }
 
-/// The list in discovery's form.
+/// The list in discovery's form, of servers and their states.
 #[must_use]
-pub fn form<'a>(entries: impl Iterator<Item = (&'a str, SocketAddr, &'a str)>, all: bool, rev: u64) -> Value {
-    let entry = |(uid, at, state): (&str, SocketAddr, &str)| {
-        // The first is the one that keeps what duties do.
-        let model = if uid == "s0" { "ledger" } else { "" };
+pub fn form<'a>(entries: impl Iterator<Item = (&'a Listed, &'a str)>, all: bool, rev: u64) -> Value {
+    let entry = |(Listed { uid, at, model }, state): (&Listed, &str)| {
         json!({"uid": uid, "endpoint": at.to_string(), "az": "here", "model": model, "pod_group": 0, "state": state,
             "capacity_hint": 1.0, "boot_ms": 0})
     };
@@ -301,10 +343,13 @@
             Some(after) => *since > after,
             None => state != "removed",
         });
-        let wanted: Vec<(&str, SocketAddr, &str)> =
-            wanted.map(|(uid, (at, state, _))| (uid.as_str(), *at, state.as_str())).collect();
-        for (server, ..) in wanted.iter().filter(|(.., state)| *state != "up") {
-            saw(What::Told { to: self.instance.clone(), server: (*server).to_owned() });
+        let wanted: Vec<(&Listed, &str)> =
+            wanted.map(|(_, (listed, state, _))| (listed, state.as_str())).collect();
+        for (server, _) in wanted.iter().filter(|(_, state)| *state != "up") {
+            saw(What::Told { to: self.instance.clone(), server: server.uid.clone() });
+        }
+        if !wanted.is_empty() {
+            saw(What::Listed { to: self.instance.clone(), servers: wanted.len() });
         }
         form(wanted.into_iter(), after.is_none(), rev)
     }
