--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,6 +10,7 @@
 mod html;
 mod memory;
 mod plan;
+mod real;
 mod results;
 mod slopes;
 mod trial;
@@ -45,6 +46,8 @@
     Trial(trial::Wanted),
     /// Write the tables of a capacity page from a plan and the results of runs; with --check exit 1 where a page differs
     Capacity(capacity::Wanted),
+    /// What a real sidecar adds to a call, by servers known; exit 0 where the limits are kept, 1 broken, 2 nothing can be said
+    Added(real::Wanted),
     /// A stand-in of a trial
     #[command(hide = true)]
     Stand {
@@ -175,6 +178,7 @@
         Command::Trial(wanted) => trial::run(wanted),
         Command::Capacity(wanted) => capacity::run(&wanted),
         Command::Slopes(wanted) => slopes::run(wanted),
+        Command::Added(wanted) => real::run(&wanted),
         Command::Stand { stand } => dunlincleat_trial::stands::stand(stand).map(|()| ExitCode::SUCCESS),
         Command::Tether { parent, program } => match dunlincleat_trial::child::tether(parent, &program)? {},
         Command::Run { scenario, seed, seeds, policy, scale, seconds, out } => {
