--- /dev/null
+++ b/crates/hollow/src/account.rs
@@ -0,0 +1,171 @@
+//! What is counted of a hollow sidecar. Owns nothing of it: [`Timed`] stands around all of its tasks, and what is logged
+//! while they are polled is its own.
+
+use crate::Counted;
+use dunlincleat_trial::clock::now;
+use rustix::time::{ClockId, clock_gettime};
+use std::cell::{Cell, RefCell};
+use std::fmt::Write;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tracing::field::{Field, Visit};
+use tracing::span::{Attributes, Id, Record};
+use tracing::{Event, Level, Metadata, Subscriber};
+
+thread_local! {
+    /// Whose tasks are polled now.
+    static CURRENT: RefCell<Option<Rc<Account>>> = const { RefCell::new(None) };
+}
+
+/// Where it is noted which version came in force at which sidecar and when.
+pub type InForce = Rc<RefCell<Vec<(usize, u64, u64)>>>;
+
+/// What is counted of one sidecar.
+pub struct Account {
+    /// Its number.
+    pub sidecar: usize,
+    allocated: fn() -> usize,
+    in_force: InForce,
+    nanos: Cell<u64>,
+    memory: Cell<i64>,
+    /// Lists and changes that its engine was told, and the version of the latest.
+    deliveries: Cell<u64>,
+    rev: Cell<Option<u64>>,
+    /// How often a watch began to be followed.
+    followed: Cell<u64>,
+    /// Probes that its engine asked for.
+    pub probes: Cell<u64>,
+}
+
+impl Account {
+    /// An account with nothing on it.
+    #[must_use]
+    pub fn new(sidecar: usize, allocated: fn() -> usize, in_force: InForce) -> Account {
+        let (nanos, memory, deliveries, rev) = (Cell::new(0), Cell::new(0), Cell::new(0), Cell::new(None));
+        let (followed, probes) = (Cell::new(0), Cell::new(0));
+        Account { sidecar, allocated, in_force, nanos, memory, deliveries, rev, followed, probes }
+    }
+
+    /// What stands on it.
+    #[must_use]
+    pub fn counted(&self) -> Counted {
+        Counted {
+            sidecar: self.sidecar,
+            cpu: self.nanos.get() / 1000,
+            memory: u64::try_from(self.memory.get()).unwrap_or(0),
+            deliveries: self.deliveries.get(),
+            probes: self.probes.get(),
+        }
+    }
+
+    /// How often a watch began to be followed.
+    #[must_use]
+    pub fn followed(&self) -> u64 {
+        self.followed.get()
+    }
+
+    /// Lists and changes that its engine was told.
+    #[must_use]
+    pub fn deliveries(&self) -> u64 {
+        self.deliveries.get()
+    }
+
+    /// A line of its log.
+    fn logged(&self, line: &str) {
+        if let Some(rev) = revision_of(line) {
+            self.deliveries.set(self.deliveries.get() + 1);
+            self.rev.set(Some(rev));
+        } else if line.starts_with("watch of discovery at ") {
+            self.followed.set(self.followed.get() + 1);
+        }
+    }
+}
+
+/// The version that a line of a sidecar's log says its engine took, the one that it started from left out.
+#[must_use]
+pub fn revision_of(line: &str) -> Option<u64> {
+    let told = ["list changes revision ", "list in whole revision "];
+    let rest = told.iter().find_map(|told| Some(line.split_once(told)?.1))?;
+    rest.split(':').next()?.parse().ok()
+}
+
+/// All tasks of a sidecar as one, whose polls are counted on its account.
+pub struct Timed<F> {
+    inner: Pin<Box<F>>,
+    account: Rc<Account>,
+}
+
+impl<F: Future> Timed<F> {
+    /// A sidecar's tasks under its account.
+    pub fn new(inner: F, account: Rc<Account>) -> Timed<F> {
+        Timed { inner: Box::pin(inner), account }
+    }
+}
+
+fn thread_nanos() -> u64 {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    u64::try_from(time.tv_sec).unwrap_or(0) * 1_000_000_000 + u64::try_from(time.tv_nsec).unwrap_or(0)
+}
+
+impl<F: Future> Future for Timed<F> {
+    type Output = F::Output;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<F::Output> {
+        let account = self.account.clone();
+        CURRENT.set(Some(account.clone()));
+        let (memory, nanos) = ((account.allocated)() as i64, thread_nanos());
+        let polled = self.inner.as_mut().poll(cx);
+        account.nanos.set(account.nanos.get() + thread_nanos().saturating_sub(nanos));
+        account.memory.set(account.memory.get() + (account.allocated)() as i64 - memory);
+        CURRENT.set(None);
+        if let Some(rev) = account.rev.take() {
+            account.in_force.borrow_mut().push((account.sidecar, rev, now()));
+        }
+        polled
+    }
+}
+
+/// Hears what the crates log, as the program's logger would, and notes it for whose tasks are polled.
+pub struct Hears;
+
+#[derive(Default)]
+struct Message(String);
+
+impl Visit for Message {
+    fn record_debug(&mut self, field: &Field, value: &dyn std::fmt::Debug) {
+        if field.name() == "message" {
+            // Writing into a string can't fail.
+            let _ = write!(self.0, "{value:?}");
+        }
+    }
+}
+
+impl Subscriber for Hears {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        *metadata.level() <= Level::INFO && metadata.target().starts_with("dunlincleat")
+    }
+
+    fn new_span(&self, _: &Attributes<'_>) -> Id {
+        Id::from_u64(1)
+    }
+
+    fn record(&self, _: &Id, _: &Record<'_>) {}
+
+    fn record_follows_from(&self, _: &Id, _: &Id) {}
+
+    fn event(&self, event: &Event<'_>) {
+        let mut message = Message::default();
+        event.record(&mut message);
+        CURRENT.with_borrow(|current| {
+            if let Some(account) = current {
+                account.logged(&message.0);
+            }
+        });
+    }
+
+    fn enter(&self, _: &Id) {}
+
+    fn exit(&self, _: &Id) {}
+}
--- /dev/null
+++ b/crates/hollow/src/sidecar.rs
@@ -0,0 +1,259 @@
+//! One hollow sidecar: the program's assembly of the control path, with servers that answer at once in place of the
+//! transports. All of its tasks run in a set of its own, dropped with it.
+
+use crate::account::Account;
+use actix_http::RequestHead;
+use actix_http::header::{HeaderName, HeaderValue};
+use anyhow::{Context, Result};
+use dunlincleat::api::{Attempt, RequestId, ServerId, Span, State, Status};
+use dunlincleat_directory::{Figures, Follower, Listing};
+use dunlincleat_engine::clock::Clock;
+use dunlincleat_engine::pools::SlotId;
+use dunlincleat_engine::shell::{Actor, Gauges, Transports, mailbox};
+use dunlincleat_engine::{Ended, Engine};
+use dunlincleat_http::Handle;
+use dunlincleat_http::list::{self, List};
+use dunlincleat_http::message::{Body, Parts, Request};
+use dunlincleat_http::own::Own;
+use dunlincleat_settings::Site;
+use dunlincleat_status::Metrics;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context as Polling, Poll};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+
+/// Requests that a sidecar may hold.
+const REQUESTS: u32 = 1000;
+/// What a task holds that is leaked, in bytes.
+const LEAKED: usize = 32 << 10;
+
+/// What all sidecars of a process share.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Told {
+    /// The settings object, as a sidecar's configuration has it.
+    pub settings: serde_json::Value,
+    /// Requests a second of each; a request's answer comes at once.
+    pub rate: f64,
+}
+
+/// A sidecar that is to be started.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Spec {
+    /// Its number.
+    pub sidecar: usize,
+    /// Where discovery answers to it.
+    pub discovery: SocketAddr,
+    /// The seed of its draws.
+    pub seed: u64,
+    /// A fault that is planted in it, to see that it is found.
+    pub plant: Option<Plant>,
+}
+
+/// Faults that can be planted in a hollow sidecar.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Plant {
+    /// It takes the whole list at each change: its discovery moves, to and fro between its address and this one's.
+    WholeList(SocketAddr),
+    /// It hears changes and never takes them up: its engine stands still once it has a list.
+    Deaf,
+    /// It leaks a task at each reconnect.
+    Leak,
+}
+
+/// What all sidecars of a process share, as the crates take it.
+pub struct Shared {
+    site: Arc<Site>,
+    own: Rc<Own>,
+    rate: f64,
+}
+
+impl Shared {
+    /// Reads the settings by the code that the program reads them by.
+    ///
+    /// # Errors
+    ///
+    /// They are at fault.
+    pub fn new(told: &Told) -> Result<Shared> {
+        let site = dunlincleat_settings::read_value(told.settings.clone()).context("settings")?;
+        // The program's defaults.
+        let ms = Duration::from_millis;
+        let watch = Figures::derive(Span(2_000_000), Span(6_000_000), site.drain_grace.unwrap_or_default());
+        let own = Own {
+            body_bytes: 64 << 10,
+            client_connections: 0,
+            client_request: ms(2600),
+            client_idle: ms(3000),
+            server_connections: 0,
+            requests: REQUESTS as usize,
+            idle: ms(2500),
+            connect: ms(1000),
+            probe: ms(100),
+            answer_stall: ms(100),
+            watch,
+            list_file: None,
+            halved: Rc::default(),
+        };
+        Ok(Shared { site: Arc::new(site), own: Rc::new(own), rate: told.rate })
+    }
+}
+
+/// Servers that answer at once.
+struct Servers {
+    engine: Handle,
+    account: Rc<Account>,
+}
+
+impl Transports for Servers {
+    type Payload = Rc<Request>;
+    type Body = Body;
+
+    fn open(&mut self, _: ServerId, _: SocketAddr, _: u64) {}
+
+    fn listed(&mut self, _: ServerId, _: Option<(SocketAddr, u64)>, _: State) {}
+
+    fn close(&mut self, _: ServerId) {}
+
+    fn attempt(
+        &mut self,
+        id: RequestId,
+        attempt: Attempt,
+        server: ServerId,
+        _: Rc<Request>,
+        _: Instant,
+        _: Option<Duration>,
+    ) {
+        let parts = Parts::Whole(Vec::new().into());
+        let body = Some(Body { parts, content_type: None });
+        let ended = Ended { status: Status::Ok, latency: Span(5000), load: vec![1.0, 0.0, 0.5], body };
+        self.engine.ended(id, attempt, server, ended);
+    }
+
+    // What was asked has ended already.
+    fn cancel(&mut self, _: RequestId, _: Attempt, _: ServerId) {}
+
+    fn withdraw(&mut self, _: RequestId, _: Attempt, _: ServerId) {}
+
+    fn probe(&mut self, server: ServerId, asked: SlotId) {
+        self.account.probes.set(self.account.probes.get() + 1);
+        let ended = Ended { status: Status::Ok, latency: Span(1000), load: vec![1.0, 0.0, 0.5], body: None };
+        self.engine.probed(server, asked, ended);
+    }
+
+    fn room(&self) -> usize {
+        0
+    }
+}
+
+/// Lives until it is dropped.
+pub async fn live(shared: Rc<Shared>, spec: Spec, account: Rc<Account>) {
+    let tasks = LocalSet::new();
+    tasks.run_until(control_path(shared, spec, account)).await;
+}
+
+async fn control_path(shared: Rc<Shared>, spec: Spec, account: Rc<Account>) {
+    let Shared { site, own, rate } = &*shared;
+    let (engine, mail) = mailbox();
+    let (caller, calls) = list::mailbox();
+    let clock = Clock::begin();
+    let known = Listing { whole: true, ..Listing::default() };
+    let mode = site.settings.discovery;
+    let (follower, known) = Follower::new(clock.now(), own.watch, mode, spec.discovery, spec.seed, known);
+    List::start(follower, clock, own.clone(), engine.clone(), calls);
+    let decides = Engine::new(site, spec.seed, REQUESTS);
+    let gauges = Gauges { metrics: Arc::new(Metrics::default()), avoided: false };
+    let servers = Servers { engine: engine.clone(), account: account.clone() };
+    let actor = Actor::new(decides, clock, servers, caller.clone(), gauges);
+    if *rate > 0.0 {
+        spawn_local(ask(engine, site.clone(), spec.seed, *rate));
+    }
+    match spec.plant {
+        None => {}
+        Some(Plant::WholeList(elsewhere)) => {
+            spawn_local(to_and_fro(account.clone(), caller, [elsewhere, spec.discovery]));
+        }
+        Some(Plant::Deaf) => {
+            let actor = Box::pin(actor.run(mail, known));
+            return Deaf { actor, account }.await;
+        }
+        Some(Plant::Leak) => drop(spawn_local(leak(account.clone()))),
+    }
+    actor.run(mail, known).await;
+}
+
+/// Asks for something now and then.
+async fn ask(engine: Handle, site: Arc<Site>, seed: u64, rate: f64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut head = RequestHead::default();
+    let name = site.classes.first().cloned().unwrap_or_default();
+    // A class's name that is no path is asked for by nobody.
+    let Ok(uri) = format!("/{name}").parse() else { return };
+    head.uri = uri;
+    for number in 0_u64.. {
+        sleep(Duration::from_secs_f64(rng.random_range(0.5..1.5) / rate)).await;
+        let id = HeaderValue::from(number);
+        head.headers.insert(HeaderName::from_static("x-request-id"), id);
+        let Ok(request) = Request::decode(&head, &site, None) else { return };
+        let (slot, answer) = oneshot::channel();
+        engine.request(RequestId(number), request.ask.clone(), Rc::new(request), Instant::now(), slot);
+        // Whatever the answer is, the next is asked for later.
+        let _ = answer.await;
+    }
+}
+
+/// How often a planted fault looks whether its time has come.
+const LOOK: Duration = Duration::from_millis(100);
+
+async fn to_and_fro(account: Rc<Account>, caller: list::Caller, places: [SocketAddr; 2]) {
+    let mut seen = 0;
+    for at in places.iter().cycle() {
+        // Of each two the one is the whole list that the other brought.
+        while account.deliveries() <= seen {
+            sleep(LOOK).await;
+        }
+        caller.moved(*at);
+        let told = account.deliveries();
+        while account.deliveries() == told {
+            sleep(LOOK).await;
+        }
+        seen = account.deliveries();
+    }
+}
+
+async fn leak(account: Rc<Account>) {
+    let mut seen = 0;
+    loop {
+        sleep(LOOK).await;
+        while seen < account.followed() {
+            seen += 1;
+            spawn_local(async {
+                let held = vec![1_u8; LEAKED];
+                std::future::pending::<()>().await;
+                drop(held);
+            });
+        }
+    }
+}
+
+/// An engine that stands still once it was told a list.
+struct Deaf<F> {
+    actor: Pin<Box<F>>,
+    account: Rc<Account>,
+}
+
+impl<F: Future<Output = ()>> Future for Deaf<F> {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Polling<'_>) -> Poll<()> {
+        if self.account.deliveries() > 0 { Poll::Pending } else { self.actor.as_mut().poll(cx) }
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,7 @@
 mod html;
 mod memory;
 mod results;
+mod scale;
 mod trial;
 
 use anyhow::{Context, Result, bail};
@@ -40,6 +41,15 @@
     Demo(demo::Wanted),
     /// Many processes of the program under faults; exit 0 where every property held, 1 broken, 2 nothing can be said
     Trial(trial::Wanted),
+    /// Control machines, hollow sidecars and real ones at size; exit 0 where every limit was kept, 1 broken, 2 nothing can be
+    /// said
+    Scale(scale::Wanted),
+    /// A control machine of a scale run
+    #[command(hide = true)]
+    Control,
+    /// Hollow sidecars of a scale run
+    #[command(hide = true)]
+    Hollow,
     /// A stand-in of a trial
     #[command(hide = true)]
     Stand {
@@ -166,6 +176,9 @@
     match Cli::parse().command {
         Command::Demo(wanted) => demo::run(wanted),
         Command::Trial(wanted) => trial::run(wanted),
+        Command::Scale(wanted) => scale::run(wanted),
+        Command::Control => dunlincleat_trial::control::control().map(|()| ExitCode::SUCCESS),
+        Command::Hollow => dunlincleat_hollow::run(memory::allocated).map(|()| ExitCode::SUCCESS),
         Command::Stand { stand } => dunlincleat_trial::stands::stand(stand).map(|()| ExitCode::SUCCESS),
         Command::Tether { parent, program } => match dunlincleat_trial::child::tether(parent, &program)? {},
         Command::Run { scenario, seed, seeds, policy, scale, seconds, out } => {
--- /dev/null
+++ b/crates/lab/src/scale/judge.rs
@@ -0,0 +1,399 @@
+//! What a day comes to: a pure function of what was seen from outside. Nothing is counted here that a process under test
+//! says of itself, but for the versions that it logs as taken.
+
+use super::result::{Figure, Verdict};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The limits of the letter, and those of the rig's own.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// A change is in force everywhere within this, in milliseconds.
+    pub in_force_ms: f64,
+    /// Bytes a second of a sidecar's control.
+    pub bytes: f64,
+    /// Its part of a core.
+    pub cpu: f64,
+    /// Its memory in bytes.
+    pub memory: f64,
+    /// What a sidecar's memory may grow over the median in a day, in bytes.
+    pub growth: f64,
+    /// By how much the rig's timers may be late, in microseconds.
+    pub late: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        let (mb, kb) = (1e6, 1e3);
+        Limits {
+            in_force_ms: 5000.0,
+            bytes: 10.0 * kb,
+            cpu: 0.047,
+            memory: 128.0 * mb,
+            growth: 96.0 * 1024.0,
+            late: 1_000_000,
+        }
+    }
+}
+
+/// A version that is to come in force at sidecars from a time on, in microseconds.
+#[derive(Clone, Debug)]
+pub struct Due {
+    /// The version.
+    pub rev: u64,
+    /// Since when.
+    pub at: u64,
+    /// Where.
+    pub sidecars: Vec<usize>,
+}
+
+/// Something counted at a time: what was added since the one before.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Added {
+    /// When, in microseconds.
+    pub at: u64,
+    /// Bytes that control wrote.
+    pub bytes: f64,
+    /// Lists and changes that it wrote.
+    pub messages: f64,
+    /// Of these, whole lists asked for by a call.
+    pub whole: f64,
+    /// Watches opened.
+    pub watches: f64,
+    /// Processor time, in microseconds.
+    pub cpu: f64,
+    /// Lists and changes that a hollow sidecar's engine took.
+    pub deliveries: f64,
+}
+
+/// A sidecar or a control machine as it was seen.
+#[derive(Clone, Debug, Default)]
+pub struct Track {
+    /// Its name.
+    pub name: String,
+    /// It is a process of the program.
+    pub real: bool,
+    /// It is hollow: what its engine took is known.
+    pub hollow: bool,
+    /// By time.
+    pub added: Vec<Added>,
+    /// Its memory, by time, in bytes.
+    pub memory: Vec<(u64, f64)>,
+    /// Versions in force, by time.
+    pub in_force: Vec<(u64, u64)>,
+    /// When it started anew.
+    pub started: Vec<u64>,
+}
+
+/// All that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// The sidecars by number.
+    pub sidecars: Vec<Track>,
+    /// The control machines by number.
+    pub controls: Vec<Track>,
+    /// How late a timer was, by time, and whose.
+    pub late: Vec<(u64, u64, String)>,
+}
+
+/// A day that was played.
+#[derive(Clone, Debug)]
+pub struct Day {
+    /// Its name.
+    pub name: String,
+    /// The seed.
+    pub seed: u64,
+    /// When it began and ended.
+    pub from: u64,
+    /// And ended.
+    pub to: u64,
+    /// What had to come in force.
+    pub due: Vec<Due>,
+    /// Sidecars that ask for no whole list on this day: nothing broke their connections.
+    pub quiet: BTreeSet<usize>,
+    /// Control machines that were killed.
+    pub killed: BTreeSet<usize>,
+}
+
+/// A spread of values with names.
+struct Spread(Vec<(f64, String)>);
+
+impl Spread {
+    fn new(mut values: Vec<(f64, String)>) -> Spread {
+        values.sort_by(|a, b| a.0.total_cmp(&b.0));
+        Spread(values)
+    }
+
+    fn at(&self, part: f64) -> Option<f64> {
+        let place = ((self.0.len() as f64 * part).ceil() as usize).clamp(1, self.0.len().max(1)) - 1;
+        self.0.get(place).map(|value| value.0)
+    }
+
+    fn mean(&self) -> Option<f64> {
+        let sum: f64 = self.0.iter().map(|value| value.0).sum();
+        (!self.0.is_empty()).then(|| sum / self.0.len() as f64)
+    }
+
+    fn last(&self, most: usize) -> Vec<String> {
+        let mut names: Vec<String> = Vec::new();
+        for (_, name) in self.0.iter().rev() {
+            if names.len() < most && !names.contains(name) {
+                names.push(name.clone());
+            }
+        }
+        names
+    }
+
+    fn figure(&self, role: &str, name: &str, unit: &str, limit: Option<f64>) -> Figure {
+        Figure {
+            role: role.to_owned(),
+            name: name.to_owned(),
+            unit: unit.to_owned(),
+            p50: self.at(0.5),
+            p99: self.at(0.99),
+            max: self.at(1.0),
+            mean: self.mean(),
+            most_1s: None,
+            most_10s: None,
+            limit,
+            last: self.last(10),
+        }
+    }
+}
+
+/// The most that was added within any span of this length that begins with a sample, and when.
+fn most(added: &[&Added], of: fn(&Added) -> f64, span: u64) -> (f64, u64) {
+    let (mut sum, mut first, mut most) = (0.0, 0, (0.0, 0));
+    for last in added {
+        sum += of(last);
+        while added[first].at + span <= last.at {
+            sum -= of(added[first]);
+            first += 1;
+        }
+        if sum > most.0 {
+            most = (sum, last.at);
+        }
+    }
+    most
+}
+
+const SECOND: u64 = 1_000_000;
+
+struct Rate {
+    name: &'static str,
+    unit: &'static str,
+    of: fn(&Added) -> f64,
+    /// How many of the counted make one of the unit.
+    scale: f64,
+}
+
+/// The figures of a day, why a limit is broken, and what is said of it.
+pub fn judge(day: &Day, seen: &Seen, limits: &Limits) -> (Verdict, Vec<String>, Vec<Figure>) {
+    let mut why = Vec::new();
+    let mut figures = vec![in_force(day, seen, limits, &mut why)];
+    let all = |real: bool| seen.sidecars.iter().filter(|track| track.real == real).collect::<Vec<_>>();
+    for (role, tracks) in [("sidecar", all(false)), ("real", all(true))] {
+        if !tracks.is_empty() {
+            figures.extend(of_role(day, role, &tracks, limits, &mut why));
+        }
+    }
+    let controls = seen.controls.iter().enumerate().filter(|(n, _)| !day.killed.contains(n));
+    let controls: Vec<&Track> = controls.map(|(_, track)| track).collect();
+    figures.extend(of_role(day, "control", &controls, limits, &mut why));
+    counts(day, seen, &mut why);
+    growth(day, seen, limits, &mut why);
+    let late = seen.late.iter().filter(|(at, ..)| (day.from..=day.to).contains(at));
+    if let Some((at, late, who)) = late.max_by_key(|(_, late, _)| *late).filter(|l| l.1 > limits.late) {
+        let (late, at) = (late / 1000, at.saturating_sub(day.from) as f64 / 1e6);
+        why.insert(0, format!("void: {who} was {late} ms late at {at:.1} s, seed {}", day.seed));
+        return (Verdict::Void, why, figures);
+    }
+    (if why.is_empty() { Verdict::Kept } else { Verdict::Broken }, why, figures)
+}
+
+/// The time until each version was in force where it was due.
+fn in_force(day: &Day, seen: &Seen, limits: &Limits, why: &mut Vec<String>) -> Figure {
+    let (mut took, mut never): (Vec<(f64, String)>, BTreeMap<usize, (u64, u64)>) = Default::default();
+    let mut latest: Option<(f64, u64, u64, usize)> = None;
+    let mut due: Vec<&Due> = day.due.iter().collect();
+    due.sort_by_key(|due| due.at);
+    for due in due {
+        for sidecar in &due.sidecars {
+            let track = &seen.sidecars[*sidecar];
+            // One that was started anew meanwhile is due anew.
+            let anew = track.started.iter().find(|started| **started > due.at);
+            let from = track.in_force.partition_point(|(_, at)| *at < due.at);
+            let here = track.in_force[from..].iter().find(|(rev, _)| *rev >= due.rev);
+            match here.filter(|(_, at)| anew.is_none_or(|anew| at < anew)) {
+                Some((_, at)) => {
+                    let ms = (at - due.at) as f64 / 1000.0;
+                    took.push((ms, track.name.clone()));
+                    if latest.is_none_or(|latest| ms > latest.0) {
+                        latest = Some((ms, due.rev, due.at, *sidecar));
+                    }
+                }
+                None if anew.is_some() => {}
+                None => drop(never.entry(*sidecar).or_insert((due.rev, due.at))),
+            }
+        }
+    }
+    let seconds = |at: u64| at.saturating_sub(day.from) as f64 / 1e6;
+    if let Some((ms, rev, at, sidecar)) = latest.filter(|latest| latest.0 > limits.in_force_ms) {
+        let name = &seen.sidecars[sidecar].name;
+        why.push(format!(
+            "in-force: revision {rev} of {:.1} s took {ms:.0} ms at {name}, limit {:.0} ms, seed {}",
+            seconds(at),
+            limits.in_force_ms,
+            day.seed
+        ));
+    }
+    if let Some((rev, at)) = never.values().min_by_key(|(_, at)| *at) {
+        let names: Vec<&str> = never.keys().take(10).map(|n| seen.sidecars[*n].name.as_str()).collect();
+        why.push(format!(
+            "in-force: never at {} sidecars, {}; revision {rev} of {:.1} s first, limit {:.0} ms, seed {}",
+            never.len(),
+            names.join(" "),
+            seconds(*at),
+            limits.in_force_ms,
+            day.seed
+        ));
+    }
+    let mut figure = Spread::new(took).figure("sidecar", "in-force", "ms", Some(limits.in_force_ms));
+    let names = never.keys().take(10).map(|n| seen.sidecars[*n].name.clone());
+    let last: Vec<String> = names.chain(figure.last).take(10).collect();
+    figure.last = last;
+    figure
+}
+
+fn of_role(day: &Day, role: &str, tracks: &[&Track], limits: &Limits, why: &mut Vec<String>) -> Vec<Figure> {
+    let sidecar = role != "control";
+    let rates = [
+        Rate {
+            name: if sidecar { "bytes-in" } else { "bytes-out" },
+            unit: "bytes/s",
+            of: |a| a.bytes,
+            scale: 1.0,
+        },
+        Rate {
+            name: if sidecar { "messages-in" } else { "messages-out" },
+            unit: "messages/s",
+            of: |a| a.messages,
+            scale: 1.0,
+        },
+        Rate { name: "cpu", unit: "part-of-core", of: |a| a.cpu, scale: 1e6 },
+    ];
+    let lasts = (day.to - day.from) as f64 / 1e6;
+    let mut figures = Vec::new();
+    for Rate { name, unit, of, scale } in rates {
+        let limit = match name {
+            "bytes-in" => Some(limits.bytes),
+            "cpu" if sidecar => Some(limits.cpu),
+            _ => None,
+        };
+        let (mut means, mut one, mut ten) = (Vec::new(), Vec::new(), Vec::new());
+        for track in tracks {
+            let within = |added: &&Added| (day.from..day.to).contains(&added.at);
+            let added: Vec<&Added> = track.added.iter().filter(within).collect();
+            let sum: f64 = added.iter().map(|added| of(added)).sum();
+            means.push((sum / scale / lasts, track.name.clone()));
+            let second = most(&added, of, SECOND);
+            one.push((second.0 / scale, second.1, track.name.clone()));
+            let seconds = most(&added, of, 10 * SECOND);
+            ten.push((seconds.0 / scale / lasts.min(10.0), seconds.1, track.name.clone()));
+        }
+        let mut figure = Spread::new(means).figure(role, name, unit, limit);
+        let most = |values: &[(f64, u64, String)]| values.iter().cloned().max_by(|a, b| a.0.total_cmp(&b.0));
+        let (one_most, ten_most) = (most(&one), most(&ten));
+        figure.most_1s = one_most.as_ref().map(|most| most.0);
+        figure.most_10s = ten_most.as_ref().map(|most| most.0);
+        if let Some(limit) = limit {
+            for (span, values, worst) in [("any 10 s", &ten, ten_most), ("any one second", &one, one_most)] {
+                let Some((value, at, who)) = worst.filter(|worst| worst.0 > limit) else { continue };
+                let over = values.iter().filter(|(value, ..)| *value > limit).count();
+                let at = at.saturating_sub(day.from) as f64 / 1e6;
+                why.push(format!(
+                    "{name}: {value:.3} {unit} in {span} at {who} at {at:.1} s, {over} of {} {role}s over, \
+                     limit {limit}, seed {}",
+                    tracks.len(),
+                    day.seed
+                ));
+            }
+        }
+        figures.push(figure);
+    }
+    let limit = sidecar.then_some(limits.memory);
+    let most_of = |track: &&Track| {
+        let within = track.memory.iter().filter(|(at, _)| (day.from..day.to).contains(at));
+        let most = within.map(|(_, bytes)| *bytes).fold(0.0, f64::max);
+        (most, track.name.clone())
+    };
+    let memory = Spread::new(tracks.iter().map(most_of).collect());
+    let figure = memory.figure(role, "memory", "bytes", limit);
+    if let Some((bytes, who)) = memory.0.last().filter(|(bytes, _)| limit.is_some_and(|l| *bytes > l)) {
+        why.push(format!("memory: {bytes:.0} bytes at {who}, limit {}, seed {}", limits.memory, day.seed));
+    }
+    figures.push(figure);
+    figures
+}
+
+/// On a sidecar whose connection nothing broke: no whole list, and each message that control wrote was taken.
+fn counts(day: &Day, seen: &Seen, why: &mut Vec<String>) {
+    let (mut whole, mut other) = (Vec::new(), Vec::new());
+    for sidecar in &day.quiet {
+        let track = &seen.sidecars[*sidecar];
+        let within = track.added.iter().filter(|added| (day.from..day.to).contains(&added.at));
+        let (mut lists, mut written, mut taken) = (0.0, 0.0, 0.0);
+        for added in within {
+            lists += added.whole;
+            written += added.messages;
+            taken += added.deliveries;
+        }
+        if lists > 0.0 {
+            whole.push(format!("{} ({lists:.0})", track.name));
+        } else if track.hollow && written != taken {
+            other.push(format!("{} ({written:.0} and {taken:.0})", track.name));
+        }
+    }
+    let named = |names: &[String]| names.iter().take(10).cloned().collect::<Vec<_>>().join(" ");
+    if !whole.is_empty() {
+        let (count, names) = (whole.len(), named(&whole));
+        why.push(format!(
+            "whole-list: {count} sidecars took the whole list at changes, {names}, seed {}",
+            day.seed
+        ));
+    }
+    if !other.is_empty() {
+        let (count, names) = (other.len(), named(&other));
+        why.push(format!(
+            "messages: written and taken differ at {count} sidecars, {names}, seed {}",
+            day.seed
+        ));
+    }
+}
+
+/// Memory that grows where that of the others does not is held by something that was forgotten.
+fn growth(day: &Day, seen: &Seen, limits: &Limits, why: &mut Vec<String>) {
+    let mut grown = Vec::new();
+    for track in seen.sidecars.iter().filter(|track| track.hollow) {
+        if track.started.iter().any(|at| (day.from..day.to).contains(at)) {
+            continue;
+        }
+        let mut within = track.memory.iter().filter(|(at, _)| (day.from..day.to).contains(at));
+        if let (Some(first), Some(last)) = (within.next(), within.next_back()) {
+            grown.push((last.1 - first.1, track.name.clone()));
+        }
+    }
+    let grown = Spread::new(grown);
+    let Some(median) = grown.at(0.5) else { return };
+    let over: Vec<&(f64, String)> =
+        grown.0.iter().filter(|(bytes, _)| bytes - median > limits.growth).collect();
+    if let Some((bytes, _)) = over.last() {
+        let names: Vec<&str> = over.iter().rev().take(10).map(|(_, name)| name.as_str()).collect();
+        why.push(format!(
+            "growth: memory grew by up to {bytes:.0} bytes, the median by {median:.0}, limit {:.0} over it, at {}, \
+             seed {}",
+            limits.growth,
+            names.join(" "),
+            day.seed
+        ));
+    }
+}
--- a/crates/lab/src/scale/result.rs
+++ b/crates/lab/src/scale/result.rs
@@ -58,6 +58,10 @@
     Void,
 }
 
+fn one() -> f64 {
+    1.0
+}
+
 /// A day.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DayResult {
@@ -65,6 +69,9 @@
     pub name: String,
     /// How long it was played, in seconds, with what came after its last change until that was in force.
     pub lasts_s: f64,
+    /// By what factor its events were pressed together against the plan; 1 for none.
+    #[serde(default = "one")]
+    pub pressed: f64,
     /// What is said of it.
     pub verdict: Verdict,
     /// Why, with limit, seed, time and sidecar; empty where all was kept.
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -109,7 +109,7 @@
 }
 
 /// The first of the signals that end a program: so that what was started is ended in order.
-async fn told_to_end() -> std::io::Result<()> {
+pub async fn told_to_end() -> std::io::Result<()> {
     let mut end = [SignalKind::interrupt(), SignalKind::terminate(), SignalKind::hangup()].map(signal);
     let [Ok(interrupt), Ok(terminate), Ok(hangup)] = &mut end else {
         return Err(std::io::Error::other("they can't be waited for"));
--- /dev/null
+++ b/crates/trial/src/control.rs
@@ -0,0 +1,479 @@
+//! Control at the size of a fleet: discovery's stand-in as a process of its own that holds the whole list as versioned
+//! state and tells it to thousands of watches. Each change is encoded once and its bytes are shared by all that are told
+//! of it. It counts what it sends to each sidecar, its own processor time and its memory.
+//!
+//! Every sidecar has an address of its own, on which it is known: nothing in what it asks names it. Control machines take
+//! up the addresses that they are told to serve, as a service's address moves to another machine when one dies.
+//!
+//! Beyond the published page it reads `models=a,b` on both calls: only entries of these models are told then, and a
+//! change that concerns none of them is not told.
+
+use crate::clock::now;
+use anyhow::{Context, Result, bail};
+use bytes::Bytes;
+use rustix::time::{ClockId, clock_gettime};
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, stdin};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{Instant, interval, sleep, timeout};
+
+/// How often a watch brings a sign of life.
+const HEARTBEAT: Duration = Duration::from_secs(2);
+/// How often what was counted is told.
+const SAMPLE: Duration = Duration::from_millis(200);
+/// Changes that are kept as they were encoded; a watch further behind is told from the entries.
+const RECENT: usize = 1024;
+/// The longest head of a request that is read.
+const HEAD: usize = 8 << 10;
+
+/// An entry of the list, in discovery's words.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its name.
+    pub uid: String,
+    /// Where it is reached.
+    pub endpoint: SocketAddr,
+    /// Its zone.
+    pub az: String,
+    /// Its service.
+    pub model: String,
+    /// Its cell.
+    pub pod_group: u32,
+    /// `up`, `draining` or `removed`.
+    pub state: String,
+    /// Its size against others.
+    pub capacity_hint: f64,
+    /// When it last started, in milliseconds of Unix time.
+    pub boot_ms: u64,
+}
+
+/// What control is told on its standard input.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Order {
+    /// Serve these sidecars at these addresses.
+    Serve(Vec<(usize, SocketAddr)>),
+    /// The whole list of a version.
+    List {
+        /// The version.
+        rev: u64,
+        /// All entries.
+        entries: Vec<Entry>,
+    },
+    /// A version's changes.
+    Change {
+        /// The version.
+        rev: u64,
+        /// The entries that changed.
+        entries: Vec<Entry>,
+    },
+    /// Break all connections.
+    Break,
+}
+
+/// What control says on its standard output.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Said {
+    /// It serves so many sidecars now.
+    Serves(usize),
+    /// An address could not be had.
+    Fault(String),
+    /// What was counted.
+    Sample(Sample),
+}
+
+/// What was counted up to a time.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Sample {
+    /// When, by the machine's clock in microseconds.
+    pub at: u64,
+    /// By how much the latest timer was late, in microseconds.
+    pub late: u64,
+    /// Its processor time since its start, in microseconds.
+    pub cpu: u64,
+    /// Its resident memory in bytes.
+    pub memory: u64,
+    /// The sidecars of which something changed.
+    pub sidecars: Vec<Sent>,
+}
+
+/// What was sent to one sidecar since the start of this process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sent {
+    /// Its number.
+    pub sidecar: usize,
+    /// Bytes written to its connections, heads and framing with them.
+    pub bytes: u64,
+    /// Lists and changes.
+    pub messages: u64,
+    /// Of these, whole lists that were asked for by a call of their own.
+    pub whole: u64,
+    /// Signs of life.
+    pub heartbeats: u64,
+    /// Watches that it opened.
+    pub watches: u64,
+}
+
+/// The processor time of this process, in microseconds.
+#[must_use]
+pub fn processor_time() -> u64 {
+    let time = clock_gettime(ClockId::ProcessCPUTime);
+    u64::try_from(time.tv_sec).unwrap_or(0) * 1_000_000 + u64::try_from(time.tv_nsec).unwrap_or(0) / 1000
+}
+
+/// The resident memory of a process in bytes; nothing where it has gone.
+#[must_use]
+pub fn resident(process: &str) -> u64 {
+    let told = std::fs::read_to_string(format!("/proc/{process}/statm")).unwrap_or_default();
+    let pages: u64 = told.split(' ').nth(1).and_then(|pages| pages.parse().ok()).unwrap_or(0);
+    pages * rustix::param::page_size() as u64
+}
+
+/// Says something to the rig. Where nobody reads it any more the rig has gone, and so does this process.
+pub fn say<T: Serialize>(said: &T) {
+    let mut line = serde_json::to_string(said).unwrap_or_default();
+    line.push('\n');
+    let mut out = std::io::stdout().lock();
+    if out.write_all(line.as_bytes()).and_then(|()| out.flush()).is_err() {
+        std::process::exit(1);
+    }
+}
+
+/// An entry as it is held.
+struct Held {
+    entry: Entry,
+    /// The version that last changed it.
+    since: u64,
+    encoded: String,
+}
+
+/// A change as it was encoded.
+struct Change {
+    rev: u64,
+    models: BTreeSet<String>,
+    /// The line in its chunk.
+    chunk: Bytes,
+}
+
+/// The list.
+#[derive(Default)]
+struct List {
+    rev: u64,
+    held: BTreeMap<String, Held>,
+    recent: VecDeque<Change>,
+    /// The versions of `recent` begin after this one.
+    from: u64,
+    /// The whole list of the present version, encoded: as a body, and as a watch's first line.
+    whole: Option<(Bytes, Bytes)>,
+}
+
+/// The services of which a sidecar wants to be told; all where none is named.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Interest(Option<BTreeSet<String>>);
+
+impl Interest {
+    fn wants(&self, model: &str) -> bool {
+        self.0.as_ref().is_none_or(|models| models.contains(model))
+    }
+}
+
+fn line<'a>(rev: u64, all: bool, entries: impl Iterator<Item = &'a str>) -> String {
+    let entries: Vec<&str> = entries.collect();
+    format!("{{\"rev\":{rev},\"all\":{all},\"targets\":[{}]}}\n", entries.join(","))
+}
+
+fn chunk(line: &str) -> Bytes {
+    Bytes::from(format!("{:x}\r\n{line}\r\n", line.len()))
+}
+
+impl List {
+    fn take(&mut self, rev: u64, entries: Vec<Entry>, all: bool) {
+        if all {
+            self.held.clear();
+            self.recent.clear();
+            self.from = rev;
+        }
+        (self.rev, self.whole) = (rev, None);
+        let (mut models, mut encoded) = (BTreeSet::new(), Vec::new());
+        for entry in entries {
+            let text = serde_json::to_string(&entry).unwrap_or_default();
+            models.insert(entry.model.clone());
+            if !all {
+                encoded.push(text.clone());
+            }
+            self.held.insert(entry.uid.clone(), Held { entry, since: rev, encoded: text });
+        }
+        if !all {
+            let chunk = chunk(&line(rev, false, encoded.iter().map(String::as_str)));
+            self.recent.push_back(Change { rev, models, chunk });
+            if self.recent.len() > RECENT {
+                self.from = self.recent.pop_front().map_or(self.from, |change| change.rev);
+            }
+        }
+    }
+
+    fn of(&self, interest: &Interest, after: Option<u64>) -> String {
+        let entries = self.held.values().filter(|held| match after {
+            Some(after) => held.since > after,
+            None => held.entry.state != "removed",
+        });
+        let wanted = entries.filter(|held| interest.wants(&held.entry.model));
+        line(self.rev, after.is_none(), wanted.map(|held| held.encoded.as_str()))
+    }
+
+    /// The whole list, as the body of an answer and as a watch's first line.
+    fn whole(&mut self, interest: &Interest) -> (Bytes, Bytes) {
+        let encode = |list: &List| {
+            let line = list.of(interest, None);
+            (Bytes::from(line.clone()), chunk(&line))
+        };
+        if interest.0.is_some() {
+            return encode(self);
+        }
+        if let Some(whole) = &self.whole {
+            return whole.clone();
+        }
+        let whole = encode(self);
+        self.whole = Some(whole.clone());
+        whole
+    }
+
+    /// A watch's first line: what changed after a version, or the whole list to one that has none, or one of another count.
+    fn first(&mut self, interest: &Interest, after: u64) -> Bytes {
+        if after == 0 || after > self.rev {
+            return self.whole(interest).1;
+        }
+        chunk(&self.of(interest, Some(after)))
+    }
+
+    /// The lines after a version, of what is wanted.
+    fn after(&self, interest: &Interest, after: u64, lines: &mut Vec<Bytes>) {
+        if after >= self.rev {
+            return;
+        }
+        if after < self.from {
+            return lines.push(chunk(&self.of(interest, Some(after))));
+        }
+        let behind = self.recent.partition_point(|change| change.rev <= after);
+        let new = self.recent.range(behind..);
+        let wanted = new.filter(|change| change.models.iter().any(|model| interest.wants(model)));
+        lines.extend(wanted.map(|change| change.chunk.clone()));
+    }
+}
+
+/// What a process of control holds.
+struct Control {
+    list: RefCell<List>,
+    rev: watch::Sender<u64>,
+    breaks: watch::Sender<u64>,
+    sent: RefCell<BTreeMap<usize, Sent>>,
+    changed: RefCell<BTreeSet<usize>>,
+    late: Cell<u64>,
+}
+
+/// Stands in for control until standard input ends.
+///
+/// # Errors
+///
+/// An order can't be read.
+pub fn control() -> Result<()> {
+    actix_rt::System::new().block_on(async {
+        let control = Rc::new(Control {
+            list: RefCell::default(),
+            rev: watch::channel(0).0,
+            breaks: watch::channel(0).0,
+            sent: RefCell::default(),
+            changed: RefCell::default(),
+            late: Cell::new(0),
+        });
+        actix_rt::spawn(samples(control.clone()));
+        let mut orders = BufReader::with_capacity(1 << 20, stdin()).lines();
+        while let Some(line) = orders.next_line().await? {
+            let order = serde_json::from_str(&line).context("an order of the rig's")?;
+            match order {
+                Order::Serve(sidecars) => {
+                    for (sidecar, at) in sidecars {
+                        match TcpListener::bind(at).await {
+                            Ok(listener) => drop(actix_rt::spawn(control.clone().listen(sidecar, listener))),
+                            Err(error) => say(&Said::Fault(format!("{at}: {error}"))),
+                        }
+                    }
+                    let serves = control.sent.borrow().len();
+                    say(&Said::Serves(serves));
+                }
+                Order::List { rev, entries } => {
+                    control.list.borrow_mut().take(rev, entries, true);
+                    control.rev.send_replace(rev);
+                }
+                Order::Change { rev, entries } => {
+                    control.list.borrow_mut().take(rev, entries, false);
+                    control.rev.send_replace(rev);
+                }
+                Order::Break => control.breaks.send_modify(|n| *n += 1),
+            }
+        }
+        // What was counted last.
+        say(&Said::Sample(control.sample()));
+        Ok(())
+    })
+}
+
+async fn samples(control: Rc<Control>) {
+    let mut ticks = interval(SAMPLE);
+    loop {
+        let due = ticks.tick().await;
+        let late = Instant::now().saturating_duration_since(due).as_micros() as u64;
+        control.late.set(late.max(control.late.get()));
+        say(&Said::Sample(control.sample()));
+    }
+}
+
+impl Control {
+    fn sample(&self) -> Sample {
+        let (changed, sent) = (self.changed.take(), self.sent.borrow());
+        let sidecars = changed.iter().filter_map(|sidecar| sent.get(sidecar).copied()).collect();
+        let (at, late) = (now(), self.late.take());
+        Sample { at, late, cpu: processor_time(), memory: resident("self"), sidecars }
+    }
+
+    fn count(&self, sidecar: usize, count: impl FnOnce(&mut Sent)) {
+        count(self.sent.borrow_mut().entry(sidecar).or_insert(Sent { sidecar, ..Sent::default() }));
+        self.changed.borrow_mut().insert(sidecar);
+    }
+
+    async fn listen(self: Rc<Self>, sidecar: usize, listener: TcpListener) {
+        self.count(sidecar, |_| {});
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            let control = self.clone();
+            let mut breaks = self.breaks.subscribe();
+            actix_rt::spawn(async move {
+                tokio::select! {
+                    // A connection that breaks is the other side's to mend.
+                    _ = control.serve(sidecar, stream) => {}
+                    _ = breaks.changed() => {}
+                }
+            });
+        }
+    }
+
+    async fn write(&self, stream: &mut TcpStream, sidecar: usize, bytes: &[u8]) -> Result<()> {
+        let mut left = bytes;
+        while !left.is_empty() {
+            let written = stream.write(left).await?;
+            if written == 0 {
+                bail!("closed");
+            }
+            self.count(sidecar, |sent| sent.bytes += written as u64);
+            left = &left[written..];
+        }
+        Ok(())
+    }
+
+    /// Answers the calls of a connection until it ends.
+    async fn serve(&self, sidecar: usize, mut stream: TcpStream) -> Result<()> {
+        let mut read = Vec::new();
+        loop {
+            let target = loop {
+                if let Some((target, length)) = head(&read)? {
+                    read.drain(..length);
+                    break target;
+                }
+                if read.len() > HEAD || stream.read_buf(&mut read).await? == 0 {
+                    bail!("no call");
+                }
+            };
+            let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+            let key = |key: &str| {
+                query.split('&').find_map(|part| part.strip_prefix(key)?.strip_prefix('=').map(str::to_owned))
+            };
+            if path != "/v1/servers" {
+                self.write(&mut stream, sidecar, b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n")
+                    .await?;
+                continue;
+            }
+            let models = key("models").map(|models| models.split(',').map(str::to_owned).collect());
+            let interest = Interest(models);
+            if key("watch").as_deref() != Some("1") {
+                let (whole, _) = self.list.borrow_mut().whole(&interest);
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+                    whole.len()
+                );
+                self.write(&mut stream, sidecar, head.as_bytes()).await?;
+                self.write(&mut stream, sidecar, &whole).await?;
+                self.count(sidecar, |sent| (sent.messages, sent.whole) = (sent.messages + 1, sent.whole + 1));
+                continue;
+            }
+            let after = key("after").and_then(|after| after.parse().ok()).unwrap_or(0);
+            return self.watch(sidecar, stream, interest, after).await;
+        }
+    }
+
+    async fn watch(
+        &self,
+        sidecar: usize,
+        mut stream: TcpStream,
+        interest: Interest,
+        after: u64,
+    ) -> Result<()> {
+        self.count(sidecar, |sent| sent.watches += 1);
+        let head = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n";
+        let mut told = self.rev.subscribe();
+        let mut rev = *told.borrow_and_update();
+        let first = self.list.borrow_mut().first(&interest, after);
+        self.write(&mut stream, sidecar, head).await?;
+        self.write(&mut stream, sidecar, &first).await?;
+        self.count(sidecar, |sent| sent.messages += 1);
+        let mut spoke = Instant::now();
+        let (mut lines, mut ends) = (Vec::new(), [0; 64]);
+        loop {
+            let waits = HEARTBEAT.saturating_sub(spoke.elapsed());
+            tokio::select! {
+                changed = timeout(waits, told.changed()) => {
+                    if changed.is_err() {
+                        self.write(&mut stream, sidecar, b"1\r\n\n\r\n").await?;
+                        self.count(sidecar, |sent| sent.heartbeats += 1);
+                        spoke = Instant::now();
+                        continue;
+                    }
+                }
+                // Nothing comes on a watch: what can be read is its end.
+                read = stream.read(&mut ends) => match read {
+                    Ok(0) | Err(_) => return Ok(()),
+                    Ok(_) => continue,
+                },
+            }
+            let new = *told.borrow_and_update();
+            self.list.borrow().after(&interest, rev, &mut lines);
+            rev = new;
+            for line in lines.drain(..) {
+                self.write(&mut stream, sidecar, &line).await?;
+                self.count(sidecar, |sent| sent.messages += 1);
+                spoke = Instant::now();
+            }
+        }
+    }
+}
+
+/// The target of a call whose head has come whole, and the head's length.
+fn head(read: &[u8]) -> Result<Option<(String, usize)>> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(read).context("no HTTP")? {
+        httparse::Status::Complete(length) => Ok(Some((request.path.unwrap_or_default().to_owned(), length))),
+        httparse::Status::Partial => Ok(None),
+    }
+}
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod audit;
 pub mod child;
 pub mod clock;
+pub mod control;
 pub mod figures;
 pub mod history;
 pub mod load;
