--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,6 +12,7 @@
 mod plan;
 mod real;
 mod results;
+mod scale;
 mod slopes;
 mod trial;
 
@@ -48,6 +49,15 @@
     Capacity(capacity::Wanted),
     /// What a real sidecar adds to a call, by servers known; exit 0 where the limits are kept, 1 broken, 2 nothing can be said
     Added(real::Wanted),
+    /// Control machines, hollow sidecars and real ones at size; exit 0 where every limit was kept, 1 broken, 2 nothing can be
+    /// said
+    Scale(scale::Wanted),
+    /// A control machine of a scale run
+    #[command(hide = true)]
+    Control,
+    /// Hollow sidecars of a scale run
+    #[command(hide = true)]
+    Hollow,
     /// A stand-in of a trial
     #[command(hide = true)]
     Stand {
@@ -179,6 +189,9 @@
         Command::Capacity(wanted) => capacity::run(&wanted),
         Command::Slopes(wanted) => slopes::run(wanted),
         Command::Added(wanted) => real::run(&wanted),
+        Command::Scale(wanted) => scale::run(wanted),
+        Command::Control => dunlincleat_trial::control::control().map(|()| ExitCode::SUCCESS),
+        Command::Hollow => dunlincleat_hollow::run(memory::allocated).map(|()| ExitCode::SUCCESS),
         Command::Stand { stand } => dunlincleat_trial::stands::stand(stand).map(|()| ExitCode::SUCCESS),
         Command::Tether { parent, program } => match dunlincleat_trial::child::tether(parent, &program)? {},
         Command::Run { scenario, seed, seeds, policy, scale, seconds, out } => {
--- a/crates/lab/src/slopes/program.rs
+++ b/crates/lab/src/slopes/program.rs
@@ -7,7 +7,7 @@
 use dunlincleat_trial::child::Process;
 use dunlincleat_trial::history::{Answer, Event, What};
 use dunlincleat_trial::load::{Application, Rate, Second};
-use dunlincleat_trial::stands::{Order, form};
+use dunlincleat_trial::stands::{Listed, Order, form};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rustix::process::Signal;
@@ -126,6 +126,13 @@
         }
         Ok(Servers { at, tasks })
     }
+
+    /// As the list tells of them; of no service.
+    fn listed(&self) -> Vec<Listed> {
+        let listed =
+            |(uid, at): &(String, SocketAddr)| Listed { uid: uid.clone(), at: *at, model: String::new() };
+        self.at.iter().map(listed).collect()
+    }
 }
 
 impl Drop for Servers {
@@ -157,14 +164,15 @@
     let first = timeout(PATIENCE, lines.next_line()).await.context("the list does not begin")??;
     let event: Event = serde_json::from_str(&first.context("the list ended")?)?;
     let What::Listens { on } = event.what else { bail!("the list does not say where it listens") };
-    let hold = Order::Hold(BTreeMap::from([(NAME.to_owned(), servers.at.clone())]));
+    let hold = Order::Hold(BTreeMap::from([(NAME.to_owned(), servers.listed())]));
     orders.write_all((serde_json::to_string(&hold)? + "\n").as_bytes()).await?;
     Ok((process, orders, *on.first().context("the list listens nowhere")?))
 }
 
 /// What the sidecar is told at its start.
 fn config(discovery: SocketAddr, servers: &Servers, seed: u64) -> Value {
-    let known = form(servers.at.iter().map(|(name, at)| (name.as_str(), *at, "up")), true, 1);
+    let listed = servers.listed();
+    let known = form(listed.iter().map(|server| (server, "up")), true, 1);
     let class = |name: &str, semantics: &str| {
         json!({"name": name, "aim": 300_000, "deadline": 740_000, "gain": 1.0, "late_worth": 0.5,
             "semantics": semantics, "group": "all", "window": 5_000_000})
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -114,7 +114,7 @@
 }
 
 /// The first of the signals that end a program: so that what was started is ended in order.
-async fn told_to_end() -> std::io::Result<()> {
+pub async fn told_to_end() -> std::io::Result<()> {
     let mut end = [SignalKind::interrupt(), SignalKind::terminate(), SignalKind::hangup()].map(signal);
     let [Ok(interrupt), Ok(terminate), Ok(hangup)] = &mut end else {
         return Err(std::io::Error::other("they can't be waited for"));
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod callers;
 pub mod child;
 pub mod clock;
+pub mod control;
 pub mod figures;
 pub mod history;
 pub mod load;
