--- a/crates/hollow/src/sidecar.rs
+++ b/crates/hollow/src/sidecar.rs
@@ -34,7 +34,7 @@
 /// Requests that a sidecar may hold.
 const REQUESTS: u32 = 1000;
 /// What a task holds that is leaked, in bytes.
-const LEAKED: usize = 32 << 10;
+const LEAKED: usize = 64 << 10;
 
 /// What all sidecars of a process share.
 #[derive(Clone, Debug, Serialize, Deserialize)]
