Hollow sidecars take their interest set by the program's own code

Change: a sidecar's services go into its Own and its follower, whose calls then carry models= as the program's do.

--- a/crates/hollow/src/sidecar.rs
+++ b/crates/hollow/src/sidecar.rs
@@ -54,6 +54,8 @@
     pub discovery: SocketAddr,
     /// The seed of its draws.
     pub seed: u64,
+    /// The services whose servers it knows; all servers where none is named.
+    pub services: Vec<String>,
     /// A fault that is planted in it, to see that it is found.
     pub plant: Option<Plant>,
 }
@@ -168,7 +170,10 @@
     let clock = Clock::begin();
     let known = Listing { whole: true, ..Listing::default() };
     let mode = site.settings.discovery;
-    let (follower, known) = Follower::new(clock.now(), own.watch, mode, spec.discovery, spec.seed, known);
+    let interest = if spec.services.is_empty() { Interest::default() } else { Interest::of(spec.services) };
+    let own = Rc::new(Own { interest: interest.clone(), ..Own::clone(own) });
+    let (at, seed) = (spec.discovery, spec.seed);
+    let (follower, known) = Follower::of(clock.now(), own.watch, mode, at, seed, known, interest);
     List::start(follower, clock, own.clone(), engine.clone(), calls);
     let decides = Engine::new(site, spec.seed, REQUESTS);
     let gauges = Gauges { metrics: Arc::new(Metrics::default()), avoided: false };
--- a/crates/lab/src/scale/play.rs
+++ b/crates/lab/src/scale/play.rs
@@ -408,7 +408,9 @@
                 }
             };
             self.counted[sidecar] = hollow::Counted::default();
-            let spec = Spec { sidecar, discovery, seed, plant };
+            let calls = &self.fleet.calls[sidecar];
+            let services = if self.play.interest { calls.iter().cloned().collect() } else { Vec::new() };
+            let spec = Spec { sidecar, discovery, seed, services, plant };
             specs.entry(sidecar % self.hollows.len()).or_default().push(spec);
         }
         for (process, specs) in specs {
