A drain told while calls were lost, on sockets; a start under load is ready in time

Only whether the drained server gets a request counts now, which is what is meant.

ready.rs: each start has 100 classes, 1,000 tenants, 50 zones, a list of 200 or 3,100 servers on disk, a discovery that takes calls and never answers or is down, and four clients that ask from before it listens. It is ready within 10 s and holds the list on disk. READY_STARTS tells how many, four by default, ten side by side at the most.

--- a/crates/sidecar/tests/lists.rs
+++ b/crates/sidecar/tests/lists.rs
@@ -4,7 +4,11 @@
 
 use common::*;
 use serde_json::{Value, json};
-use std::time::Instant;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 /// Asks until the answer is this.
 fn ask_until(sidecar: &Sidecar, what: &str) {
@@ -332,3 +336,193 @@
     assert_eq!(sidecar.ask(&read("r2")).status(), 200);
     assert_eq!(server.opened.len(), 2);
 }
+
+/// How a stand-in discovery treats calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Mood {
+    /// It answers each watch with the whole list as it is then, and brings signs of life.
+    Tells,
+    /// Nobody listens at its address.
+    Refuses,
+    /// It takes calls and says nothing, also later.
+    Hangs,
+    /// It takes calls and resets their connections.
+    Resets,
+}
+
+/// What it has to tell, and what became of calls.
+#[derive(Clone)]
+struct Told {
+    mood: Arc<Mutex<Mood>>,
+    list: Arc<Mutex<Value>>,
+    watches: Arc<Mutex<Vec<TcpStream>>>,
+    /// Calls that it took in each mood but the first, and calls left to hang that the other side has given up.
+    taken: Seen<Mood>,
+    given_up: Seen<()>,
+}
+
+impl Told {
+    fn call(&self, mut stream: TcpStream) {
+        let Ok(Some(call)) = read_message(&mut BufReader::new(stream.try_clone().unwrap())) else { return };
+        let mood = *self.mood.lock().unwrap();
+        match mood {
+            // The whole list alone is asked for beside a watch; what is silent to that is the watch's alone.
+            Mood::Tells if !call.target().contains("watch=1") => {}
+            Mood::Tells => {
+                let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+                let line = chunk(&format!("{}\n", self.list.lock().unwrap()));
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                self.watches.lock().unwrap().push(stream.try_clone().unwrap());
+                stream.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+                let mut written = stream.write_all((head.to_owned() + &line).as_bytes());
+                // Up to the end of the watch, which its reset brings.
+                while written.is_ok() && !matches!(stream.read(&mut [0; 64]), Ok(0)) {
+                    written = stream.write_all(chunk("\n").as_bytes());
+                }
+            }
+            Mood::Hangs => {
+                self.taken.push(mood);
+                let _ = stream.read(&mut [0; 1]);
+                self.given_up.push(());
+            }
+            Mood::Resets | Mood::Refuses => {
+                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+                self.taken.push(mood);
+            }
+        }
+    }
+}
+
+/// A stand-in discovery that has moods.
+struct Moody {
+    address: SocketAddr,
+    told: Told,
+    listens: Option<JoinHandle<()>>,
+}
+
+impl Moody {
+    fn start(list: Value) -> Moody {
+        let (mood, watches) = (Arc::new(Mutex::new(Mood::Tells)), Arc::default());
+        let (list, taken, given_up) = (Arc::new(Mutex::new(list)), Seen::new(), Seen::new());
+        let told = Told { mood, list, watches, taken, given_up };
+        let mut moody = Moody { address: own_address(), told, listens: None };
+        moody.becomes(Mood::Tells);
+        moody
+    }
+
+    /// Treats calls in this way from here on; watches that are open are reset.
+    fn becomes(&mut self, mood: Mood) {
+        *self.told.mood.lock().unwrap() = mood;
+        for stream in self.told.watches.lock().unwrap().drain(..) {
+            socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            // Its thread lets go of it, and the last to do so resets it.
+            let _ = stream.shutdown(std::net::Shutdown::Read);
+        }
+        if mood == Mood::Refuses {
+            // Its listener goes with its thread, which one more connection wakes.
+            drop(TcpStream::connect(self.address));
+            self.listens.take().into_iter().for_each(|thread| thread.join().unwrap());
+        } else if self.listens.is_none() {
+            let listener = TcpListener::bind(self.address).unwrap();
+            let told = self.told.clone();
+            self.listens = Some(std::thread::spawn(move || {
+                for stream in listener.incoming().map_while(Result::ok) {
+                    if *told.mood.lock().unwrap() == Mood::Refuses {
+                        return;
+                    }
+                    let told = told.clone();
+                    std::thread::spawn(move || told.call(stream));
+                }
+            }));
+        }
+    }
+
+    /// Has calls lost in this mood: so many, or one that hangs until it is given up where that is to be waited for.
+    fn loses(&mut self, sidecar: &Sidecar, mood: Mood, given_up: bool) {
+        let refused = || sidecar.log.all().iter().filter(|line| line.contains("refused")).count();
+        let (were_refused, taken) = (refused(), self.told.taken.len());
+        let were_given_up = self.told.given_up.len();
+        self.becomes(mood);
+        let end = Instant::now() + PATIENCE;
+        match mood {
+            Mood::Tells => {}
+            Mood::Refuses => {
+                while refused() < were_refused + 2 {
+                    assert!(Instant::now() < end, "no call is refused: {:?}", sidecar.log.all());
+                    sidecar.log.wait(sidecar.log.len() + 1, "log lines");
+                }
+            }
+            Mood::Hangs if given_up => {
+                self.told.given_up.wait(were_given_up + 1, "calls given up");
+            }
+            Mood::Hangs | Mood::Resets => {
+                self.told.taken.wait(taken + 1, "calls");
+            }
+        }
+    }
+}
+
+/// A list of these servers, of which the first so many drain.
+fn draining(rev: u64, servers: &[Server], first: usize) -> Value {
+    let state = |n| if n < first { "draining" } else { "up" };
+    let entries = servers.iter().enumerate().map(|(n, s)| entry(&format!("s{n}"), s.address, state(n)));
+    json!({"rev": rev, "all": true, "targets": entries.collect::<Vec<_>>()})
+}
+
+/// Has discovery lose calls in each of these orders with a drain in its midst, and asserts that it is acted on in time.
+fn drains_are_acted_on(mode: &str, orders: &[&[Mood]], given_up: bool) {
+    let names = (0..=orders.len()).map(|n| format!("server {n}"));
+    let servers: Vec<Server> = names.map(|name| Server::start(move |_, _| ok(&name))).collect();
+    let mut discovery = Moody::start(draining(7, &servers, 0));
+    let known = draining(7, &servers, 0)["targets"].as_array().unwrap().clone();
+    let sidecar = Setup::new(known)
+        .set("/discovery", json!(discovery.address.to_string()))
+        .set("/settings/discovery", json!(mode))
+        // The module asks again beside a call that hangs only after a quarter of it.
+        .set("/settings/safety/ask_within", json!(60_000_000))
+        .start();
+    sidecar.logged("in whole revision 7: ");
+    for (n, order) in orders.iter().enumerate() {
+        let rev = 8 + n as u64;
+        for (at, mood) in order.iter().enumerate() {
+            discovery.loses(&sidecar, *mood, given_up);
+            if at == order.len() / 2 {
+                *discovery.told.list.lock().unwrap() = draining(rev, &servers, n + 1);
+            }
+        }
+        let reached = Instant::now();
+        discovery.becomes(Mood::Tells);
+        read_revision(&sidecar, rev);
+        let late = reached.elapsed();
+        println!("{mode}, {order:?}: {} ms", late.as_millis());
+        // What it had counts as told 6 s after it could be reached, and the grace is a second.
+        assert!(late < Duration::from_secs(7), "{order:?}: acted on after {late:?}");
+        let before = servers[n].count();
+        for _ in 0..10 {
+            // Whether a busy machine's servers answer in time is not what is asked here.
+            sidecar.ask(&read("r"));
+        }
+        assert_eq!(servers[n].count(), before, "{order:?}: a server that drains got a request");
+    }
+}
+
+/// Guards a drain that discovery came to have while calls to it were refused, hung or were reset.
+#[test]
+fn a_drain_told_while_calls_were_lost_is_acted_on_once_discovery_can_be_reached() {
+    use Mood::{Hangs, Refuses, Resets};
+    let orders: [&[Mood]; 6] = [
+        &[Refuses, Hangs, Resets],
+        &[Refuses, Resets, Hangs],
+        &[Hangs, Refuses, Resets],
+        &[Hangs, Resets, Refuses],
+        &[Resets, Refuses, Hangs],
+        &[Resets, Hangs, Refuses],
+    ];
+    drains_are_acted_on("pushed", &orders, true);
+}
+
+/// The same where lists come on request. A call that hangs is still out when discovery is back: only another brings the list.
+#[test]
+fn a_drain_told_while_calls_were_lost_is_acted_on_where_lists_come_on_request() {
+    drains_are_acted_on("on_request", &[&[Mood::Refuses, Mood::Resets, Mood::Hangs]], false);
+}
--- /dev/null
+++ b/crates/sidecar/tests/ready.rs
@@ -0,0 +1,204 @@
+//! From its start to its first answer: with the largest settings, a list on disk, discovery slow or down, clients that
+//! ask from the first moment, and other starts side by side. How many starts is told by `READY_STARTS`; the figures
+//! that are printed are those of the binary under test, with its profile.
+
+mod common;
+
+use common::*;
+use dunlincleat::api::Time;
+use dunlincleat_directory::{Listing, Snapshot};
+use serde_json::{Value, json};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// How long a start may take: nine in ten restarted processes have to be ready by then, here each.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+/// Starts without the variable, and how many run side by side.
+const STARTS: usize = 4;
+const SIDE_BY_SIDE: usize = 10;
+/// Clients of each process, which ask from before it listens.
+const CLIENTS: usize = 4;
+/// The size of the settings.
+const CLASSES: usize = 100;
+const TENANTS: usize = 1000;
+const ZONES: usize = 50;
+/// Servers of a list that do answer; at the others' address nobody listens.
+const ANSWERING: usize = 10;
+
+/// Each request has an id of its own.
+static IDS: AtomicUsize = AtomicUsize::new(0);
+
+fn large_settings() -> Value {
+    let mut settings = settings();
+    let class = settings["classes"][0].clone();
+    for n in settings["classes"].as_array().unwrap().len()..CLASSES {
+        let mut class = class.clone();
+        class["name"] = json!(format!("class-{n}"));
+        settings["classes"].as_array_mut().unwrap().push(class);
+    }
+    for n in 1..TENANTS {
+        let tenant = json!({"name": format!("tenant-{n}"), "quota_per_s": 100.0, "share": 0.001});
+        settings["tenants"].as_array_mut().unwrap().push(tenant);
+    }
+    settings["zones"] = (0..ZONES).map(|n| format!("zone-{n}")).collect();
+    settings["balancers"] = json!(300);
+    settings
+}
+
+/// The bytes of the file of a list of so many servers, the last of which answer.
+fn list_file(servers: usize, answering: &[Server]) -> Vec<u8> {
+    let entries = (0..servers).map(|n| {
+        let [_, _, high, low] = (n as u32).to_be_bytes();
+        let address = match (servers - n).checked_sub(1).and_then(|n| answering.get(n)) {
+            Some(server) => server.address,
+            None => SocketAddr::from(([127, 64, high, low], 9)),
+        };
+        let mut entry = entry(&format!("server-{n:05}"), address, "up");
+        entry["az"] = json!(format!("zone-{}", n % ZONES));
+        entry
+    });
+    let targets: Vec<Value> = entries.collect();
+    let listing = Listing::from_value(json!({"rev": 9, "all": true, "targets": targets})).unwrap();
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    Snapshot { fresh_at: Time(now.as_micros() as u64), listing }.encode()
+}
+
+/// Asks again and again until it is told to stop, from before anybody listens there; gives how many were answered.
+fn asks(listen: SocketAddr, stop: &AtomicBool) -> usize {
+    let mut answered = 0;
+    while !stop.load(Ordering::SeqCst) {
+        let Ok(mut stream) = TcpStream::connect(listen) else {
+            // Refused at once: the machine is left some time for the start itself.
+            thread::sleep(Duration::from_millis(2));
+            continue;
+        };
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut input = BufReader::new(stream.try_clone().unwrap());
+        while !stop.load(Ordering::SeqCst) {
+            let id = format!("r{}", IDS.fetch_add(1, Ordering::SeqCst));
+            if stream.write_all(read(&id).as_bytes()).is_err() {
+                break;
+            }
+            match read_message(&mut input) {
+                Ok(Some(_)) => answered += 1,
+                Ok(None) | Err(_) => break,
+            }
+        }
+    }
+    answered
+}
+
+/// What the log tells of a start, in milliseconds after its process was made.
+#[derive(Debug)]
+struct Start {
+    /// The configuration was read.
+    read: u64,
+    /// The list on disk was read.
+    list: u64,
+    /// Clients can connect.
+    listening: u64,
+    /// The module has taken the list in.
+    taken: u64,
+    /// `GET /healthz` was answered with 200.
+    ready: u64,
+}
+
+/// Starts one process and measures it until it is ready; `servers` are in its list, and discovery never answers at `discovery`.
+fn start(servers: usize, discovery: SocketAddr, answering: &[Server]) -> Start {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("list");
+    std::fs::write(&file, list_file(servers, answering)).unwrap();
+    let setup = Setup::new(vec![])
+        .set("/settings", large_settings())
+        .set("/sidecar/log", json!("info"))
+        .set("/sidecar/list_file", json!(file.to_str().unwrap()))
+        .set("/discovery", json!(discovery.to_string()));
+    let listen: SocketAddr = setup.config["listen"].as_str().unwrap().parse().unwrap();
+    let stop = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..CLIENTS {
+            scope.spawn(|| asks(listen, &stop));
+        }
+        let (began, wall) = (Instant::now(), SystemTime::now().duration_since(UNIX_EPOCH).unwrap());
+        let sidecar = setup.spawn();
+        sidecar.logged("listening on");
+        assert_eq!(
+            sidecar.ask("GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").status(),
+            200
+        );
+        let ready = began.elapsed().as_millis() as u64;
+        let taken = format!("list as last held revision 9: {servers} up");
+        sidecar.logged(&taken);
+        stop.store(true, Ordering::SeqCst);
+        let lines = sidecar.log.all();
+        // A line begins with its Unix time, "seconds.millis".
+        let told = |what: &str| {
+            let line = lines.iter().find(|line| line.contains(what)).unwrap_or_else(|| panic!("no '{what}'"));
+            let at: f64 = line.split(' ').next().unwrap().parse().unwrap();
+            ((at - wall.as_secs_f64()) * 1000.0).max(0.0) as u64
+        };
+        let list = told("list kept in");
+        Start {
+            read: told("sidecar n0 starts"),
+            list,
+            listening: told("listening on"),
+            taken: told(&taken),
+            ready,
+        }
+    })
+}
+
+/// A stage's name and its length.
+type Stage = (&'static str, fn(&Start) -> u64);
+
+fn tell(what: &str, mut ms: Vec<u64>) {
+    ms.sort_unstable();
+    let at = |part: f64| ms[((ms.len() - 1) as f64 * part).round() as usize];
+    println!("{what}: p50 {} ms, p90 {} ms, max {} ms", at(0.5), at(0.9), at(1.0));
+}
+
+/// Guards a process that is started anew in the worst of moments: it is ready within 10 s and serves by the list on disk, with
+/// 200 and with 3,100 servers in it, whether discovery hangs or is down.
+#[test]
+fn a_process_started_under_load_without_discovery_is_ready_in_time() {
+    let starts =
+        std::env::var("READY_STARTS").map_or(STARTS, |n| n.parse().expect("READY_STARTS is no number"));
+    let answering: Vec<Server> = (0..ANSWERING).map(|_| Server::start(|_, _| ok("x"))).collect();
+    // It takes connections and never answers.
+    let slow = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (down, next) = (own_address(), AtomicUsize::new(0));
+    let measured = Seen::new();
+    thread::scope(|scope| {
+        for _ in 0..SIDE_BY_SIDE.min(starts) {
+            scope.spawn(|| {
+                loop {
+                    let n = next.fetch_add(1, Ordering::SeqCst);
+                    if n >= starts {
+                        return;
+                    }
+                    let discovery = if n % 2 == 0 { slow.local_addr().unwrap() } else { down };
+                    let servers = if n % 4 < 2 { 200 } else { 3100 };
+                    measured.push(std::sync::Arc::new(start(servers, discovery, &answering)));
+                }
+            });
+        }
+    });
+    let measured = measured.all();
+    assert_eq!(measured.len(), starts);
+    let stages: [Stage; 6] = [
+        ("made to configuration read", |s| s.read),
+        ("to list read from disk", |s| s.list - s.read),
+        ("to listening", |s| s.listening - s.list),
+        ("to ready", |s| s.ready.saturating_sub(s.listening)),
+        ("made to list taken in", |s| s.taken),
+        ("made to ready", |s| s.ready),
+    ];
+    for (stage, of) in stages {
+        tell(stage, measured.iter().map(|start| of(start)).collect());
+    }
+    let late: Vec<_> = measured.iter().filter(|s| u128::from(s.ready) > READY_WITHIN.as_millis()).collect();
+    assert!(late.is_empty(), "not ready within {READY_WITHIN:?}: {late:?}");
+}
