Idle connections to a server that leaves are closed: its successors are reached at the bound

Cause: idle connections to a draining server stood until they were too old (four fifths of conn_idle), and where they took all places for servers' connections, every attempt at a server that came in its place ended with 'the bound on server connections is reached' and 503. Change: Peer closes its idle connections when its server is listed as one that leaves, not only as gone, and keeps none that comes back from an attempt there. Left open: idle connections to servers that stay still hold their places until they are too old; no idle one makes room for a new one.

--- a/crates/http/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -295,7 +295,9 @@
                 // is written to one ends as a reset, after which an unsafe request must not be sent again.
                 let (endpoint, boot_ms) = at.unwrap_or((self.endpoint, self.boot_ms));
                 let moved = (endpoint, boot_ms) != (self.endpoint, self.boot_ms);
-                if moved || state == State::Gone {
+                // One that leaves gets nothing more, and at the bound its idle connections had kept the servers that came in
+                // its place out of reach until they were too old.
+                if moved || state != State::Ready {
                     self.idle.clear();
                 }
                 (self.endpoint, self.boot_ms) = (endpoint, boot_ms);
@@ -331,7 +333,7 @@
             let here = line.to == (self.endpoint, self.boot_ms);
             let fit = line.wire.fit();
             self.looks_for_strays(&line);
-            if fit && here {
+            if fit && here && !self.gate.closed.get() {
                 line.since = Instant::now();
                 self.idle.push(line);
             }
--- a/crates/sidecar/tests/descriptors.rs
+++ b/crates/sidecar/tests/descriptors.rs
@@ -11,8 +11,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// What the program is told that it may hold: room for twenty clients.
+/// What the program is told that it may hold: room for twenty clients, where servers have as many.
 const SOCKETS: usize = 104;
+/// The most that clients may have of these, beside four connections to servers and what is kept.
+const CLIENTS: usize = 36;
 /// The grace of a drain, and the longest that a try of discovery is put off: two thirds of it, by the follower.
 const GRACE: Duration = Duration::from_secs(6);
 const TRIES: Duration = Duration::from_secs(4);
@@ -124,6 +126,10 @@
         // No time of their own ends them while this test waits.
         .set("/sidecar/client_request_ms", json!(600_000))
         .set("/sidecar/client_idle_ms", json!(600_000));
+    if sockets == SOCKETS {
+        let (clients, servers) = (json!(CLIENTS), json!(4));
+        setup = setup.set("/sidecar/client_connections", clients).set("/sidecar/server_connections", servers);
+    }
     setup.descriptors = machine;
     let sidecar = setup.start();
     let mut kept = sidecar.connect();
