--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -100,6 +100,9 @@
     /// After how long a node closes an idle connection; never where it is not told.
     #[serde(default)]
     pub idle: Option<Time>,
+    /// Nodes report their load in answers; without, instances know of it only what they did themselves.
+    #[serde(default = "yes")]
+    pub reports: bool,
     /// One way from instance to node.
     #[serde(default = "network")]
     pub network: Time,
@@ -423,6 +426,9 @@
 fn one_zone() -> Vec<String> {
     vec!["a".to_owned()]
 }
+fn yes() -> bool {
+    true
+}
 fn one() -> usize {
     1
 }
@@ -714,7 +720,8 @@
             "balancers": self.traffic.instances, "me": me, "zones": self.fleet.zones, "tick": 1000,
             "locality": me % self.fleet.zones.len().max(1),
             "discovery": if self.fleet.list_on_request { "on_request" } else { "pushed" },
-            "classes": classes, "stats": {"fields": ["inflight", "queue", "util"], "how": "inline"},
+            "classes": classes,
+            "stats": {"fields": ["inflight", "queue", "util"], "how": if self.fleet.reports { "inline" } else { "off" }},
             "limits": {"try_limit": 4, "probes": true, "cancel": true, "connect_timeout": 200_000},
             "deductions": {"probe": self.prices.probe, "handshake": self.prices.handshake,
                 "connection": self.prices.connection, "cross_zone": self.prices.cross_zone},
--- a/crates/fleet/tests/ramp.rs
+++ b/crates/fleet/tests/ramp.rs
@@ -129,27 +129,61 @@
     })
 }
 
-/// No cold server falls, on any of these seeds, and the day tried it: servers started, and were sent a fair part of what they
-/// may get. Nor does any get more than its budget, with nothing put down to chance.
+/// The same where answers may take 2 s and the sliding time is 1 s: what is crowded is hardly seen, and only the ramp keeps the
+/// sum small.
+fn patient_day(instances: usize) -> Scenario {
+    let mut day = day(instances);
+    day.fleet.falls_over = Time(Span(SECOND));
+    for class in &mut day.classes {
+        (class.aim, class.deadline) = (Time(Span(2 * SECOND)), Time(Span(4 * SECOND)));
+    }
+    day
+}
+
+/// The same with a sliding time of 3 s and nodes that report no load: instances know of it only what they did themselves.
+fn untold_day(instances: usize) -> Scenario {
+    let mut day = patient_day(instances);
+    (day.fleet.falls_over, day.fleet.reports) = (Time(Span(3 * SECOND)), false);
+    day
+}
+
+/// No cold server falls, on any of these seeds, or comes near it, and the day tried it: servers started, and were sent a fair
+/// part of what they may get. Nor does any get more than its budget, with nothing put down to chance.
 fn holds(day: &Scenario, seeds: std::ops::Range<u64>) {
     for Report { seed, broken, cases, cold_peak, worth, .. } in played(day, seeds) {
         let peak = cold_peak.unwrap();
         assert!(broken.is_empty(), "seed {seed}: {peak:?} {broken:?} {cases:#?}");
-        assert!(peak.of_limit() > 0.15 && peak.of_limit() <= 1.0, "seed {seed}: {peak:?}");
+        // Without the ramp three hundred come to between 0.54 and 0.66 of it, on days that would hold all the same.
+        assert!((0.15..0.5).contains(&peak.of_limit()), "seed {seed}: {peak:?}");
         assert!(worth > 0.4, "seed {seed}: worth {worth}");
     }
 }
 
+/// What broke on these seeds, whoever's fault. A budget of 15 is passed by a few by chance: that alone is borne.
+fn falls(day: &Scenario, seeds: std::ops::Range<u64>) -> Vec<String> {
+    let instances = day.traffic.instances;
+    let wrong = |Report { seed, broken, cold_peak, .. }: &Report| {
+        let broken: Vec<&String> = broken.keys().filter(|rule| rule.as_str() != "cold nodes").collect();
+        (!broken.is_empty())
+            .then(|| format!("{instances} instances, seed {seed}: {broken:?}, {:?}", cold_peak.unwrap()))
+    };
+    played(day, seeds).iter().filter_map(wrong).collect()
+}
+
 #[test]
 fn the_ramp_holds_for_twenty_instances() {
     holds(&day(20), 1..7);
     holds(&narrow_day(20), 1..7);
+    assert_eq!(falls(&patient_day(20), 1..7), [""; 0]);
+    assert_eq!(falls(&untold_day(20), 1..7), [""; 0]);
 }
 
 #[test]
 fn the_ramp_holds_for_thirty_instances() {
     holds(&day(30), 1..7);
     holds(&narrow_day(30), 1..7);
+    assert_eq!(falls(&patient_day(30), 1..7), [""; 0]);
+    assert_eq!(falls(&untold_day(30), 1..7), [""; 0]);
 }
 
 #[test]
