--- a/crates/lab/src/capacity.rs
+++ b/crates/lab/src/capacity.rs
@@ -1,5 +1,5 @@
-//! `capacity`: a plan and the results of runs come to a page. What is between its marks is written from both; `--check`
-//! tells where a page says something else.
+//! `capacity`: a plan and the results of runs come to a page. What is between its marks is written from both;
+//! `--check` tells where a page says something else.
 
 mod figures;
 mod page;
@@ -24,8 +24,8 @@
     plan: PathBuf,
     /// Results of `slopes`, `scale` and of what a call has added, as JSON
     results: Vec<PathBuf>,
-    /// The page whose tables are written; where there is none yet, one with the prose of docs/CAPACITY.md. Without it the
-    /// whole page is printed
+    /// The page whose tables are written; where there is none yet, one with the prose of docs/CAPACITY.md.
+    /// Without it the whole page is printed
     #[arg(long, value_name = "FILE")]
     page: Option<PathBuf>,
     /// Write nothing; exit 1 with the name of each table in which the page differs
--- a/crates/lab/src/capacity/figures.rs
+++ b/crates/lab/src/capacity/figures.rs
@@ -1,5 +1,6 @@
-//! Figures against limits: each is either played by a run at the plan's size, or worked out as slope × driver. Without the
-//! interest set and with it; with it at the sidecar that calls the most services, since that one has to keep the limits.
+//! Figures against limits: each is either played by a run at the plan's size, or worked out as slope × driver.
+//! Without the interest set and with it; with it at the sidecar that calls the most services, since that one
+//! has to keep the limits.
 
 use super::results::{Added, Form, Results, Seen, Slope, Verdict};
 use super::show::{amount, count, part};
@@ -217,8 +218,8 @@
 /// How far points may be from their line for the line to stand for them.
 const TRUSTED: f64 = 0.15;
 
-/// A slope at a size of its driver: on its line, between its points where the line is no good, and past them as its form
-/// says; none where the form past them isn't clear.
+/// A slope at a size of its driver: on its line, between its points where the line is no good, and past them as
+/// its form says; none where the form past them isn't clear.
 fn at(slope: &Slope, driver: f64, unit: Unit) -> Option<(f64, String, bool)> {
     let mut points: Vec<(f64, f64)> = slope.points.iter().map(|p| (p.at, median(&p.values))).collect();
     points.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -686,12 +687,17 @@
                         (Verdict::Void, _) => Err("void".to_owned()),
                         (_, None) => Err("not measured".to_owned()),
                         (_, Some((is, of))) => {
-                            let pressed = if run.pressed == 1.0 {
-                                String::new()
+                            let pressed = match run.pressed(day) {
+                                1.0 => String::new(),
+                                pressed => format!(", events pressed {}", count(pressed)),
+                            };
+                            let played = run.hollow + run.real;
+                            let fewer = if played < run.size {
+                                format!(", {} sidecars played", count(played.into()))
                             } else {
-                                format!(", time pressed {}", count(run.pressed))
+                                String::new()
                             };
-                            let working = format!("{of}{pressed}");
+                            let working = format!("{of}{pressed}{fewer}");
                             let is = if seen.unit == "ms" { is / 1e3 } else { is };
                             Ok(Value { is, working, from: vec![file.clone()], beyond: false })
                         }
@@ -745,7 +751,7 @@
             let low_high =
                 [point.added_p99_low_us, point.added_p99_high_us].map(|us| amount(us / 1e3, Unit::Millis));
             let working = format!(
-                "{} known, {} a second, from {} to {}, {} of the calls",
+                "{} listed, {} a second, from {} to {}, {} of the calls answered",
                 count(f64::from(point.known)),
                 count(point.rate),
                 low_high[0],
@@ -815,8 +821,8 @@
     })
 }
 
-/// The figure that is held against a limit, and which it is: bytes of a sidecar in any 10 s, of a control machine in any
-/// second; of all else the most of any.
+/// The figure that is held against a limit, and which it is: bytes of a sidecar in any 10 s, of a control
+/// machine in any second; of all else the most of any.
 fn judged(seen: &Seen) -> Option<(f64, &'static str)> {
     let most_10s = seen.most_10s.map(|is| (is, "most of any in any 10 s"));
     let most_1s = seen.most_1s.map(|is| (is, "most of any in any second"));
--- a/crates/lab/src/capacity/results.rs
+++ b/crates/lab/src/capacity/results.rs
@@ -1,5 +1,5 @@
-//! Results of runs as files: slopes, scale runs, and what a call has added. Form 1 of each; another kind or version is an
-//! error that names the file. What a page doesn't use is passed over.
+//! Results of runs as files: slopes, scale runs, and what a call has added. Form 1 of each; another kind or
+//! version is an error that names the file. What a page doesn't use is passed over.
 
 use anyhow::{Context, Result, bail};
 use serde::Deserialize;
@@ -90,6 +90,9 @@
 pub struct Day {
     pub name: String,
     pub lasts_s: f64,
+    /// By what factor its events were pressed together, where that is told of the day.
+    #[serde(default)]
+    pub pressed: Option<f64>,
     pub verdict: Verdict,
     #[serde(default)]
     pub why: Vec<String>,
@@ -107,6 +110,13 @@
     pub days: Vec<Day>,
 }
 
+impl Run {
+    /// By what factor a day's events were pressed together; 1 for none.
+    pub fn pressed(&self, day: &Day) -> f64 {
+        day.pressed.unwrap_or(self.pressed)
+    }
+}
+
 /// The same inputs to one hollow sidecar and one real one, in this order.
 #[derive(Clone, Debug, Deserialize)]
 pub struct HollowReal {
@@ -119,6 +129,7 @@
 /// What real sidecars added to a call.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Added {
+    /// Servers on the list, whatever the sidecar asks for.
     pub known: u32,
     pub rate: f64,
     pub depth: u32,
@@ -175,7 +186,8 @@
     ///
     /// # Errors
     ///
-    /// Where one can't be read, is of a kind or version that isn't known, or tells what another has told: with its name.
+    /// Where one can't be read, is of a kind or version that isn't known, or tells what another has told: with
+    /// its name.
     pub fn read(paths: &[impl AsRef<Path>]) -> Result<Results> {
         let mut all = Results::default();
         for path in paths {
--- a/crates/lab/src/capacity/tables.rs
+++ b/crates/lab/src/capacity/tables.rs
@@ -1,7 +1,7 @@
 //! The page's tables, from the plan and the figures.
 
 use super::figures::{Cell, How, Limit, Role, Row, Unit, Value, When, Work, answered, median};
-use super::results::{Results, Run, Seen};
+use super::results::{Day, Results, Run, Seen};
 use super::show::{amount, count, digits, factor, part};
 use crate::plan::{Change, Plan};
 use std::collections::BTreeMap;
@@ -536,6 +536,7 @@
         "size",
         "interest set",
         "day",
+        "played",
         "in force p50, p99, max",
         "sidecar's bytes in, mean, most in 10 s, most in 1 s",
         "its messages in",
@@ -563,6 +564,7 @@
                 count(run.size.into()),
                 if run.interest { "with" } else { "without" }.into(),
                 day.name.clone(),
+                played(run, day),
                 format!(
                     "{}, {}, {}",
                     show(force.and_then(|seen| seen.p50), Unit::Millis),
@@ -588,12 +590,12 @@
             ]);
         }
     }
-    or_none(table, results.runs.is_empty(), 11)
+    or_none(table, results.runs.is_empty(), 12)
 }
 
 /// Days that didn't simply hold, with their reasons.
 fn verdicts(results: &Results) -> String {
-    let mut table = Table::new(&["size", "interest set", "day", "played for", "verdict", "why"]);
+    let mut table = Table::new(&["size", "interest set", "day", "played", "verdict", "why"]);
     let mut none = true;
     for (_, run) in &results.runs {
         for day in run.days.iter().filter(|day| !day.why.is_empty() || day.verdict.name() != "kept") {
@@ -607,7 +609,7 @@
                 count(run.size.into()),
                 if run.interest { "with" } else { "without" }.into(),
                 day.name.clone(),
-                format!("{} hollow, {} real, {} s", run.hollow, run.real, digits(day.lasts_s)),
+                played(run, day),
                 day.verdict.name().into(),
                 if why.is_empty() { "no reason told".into() } else { why.join("; ") },
             ]);
@@ -622,9 +624,20 @@
     table.0
 }
 
+/// With how many, for how long, and how far pressed together.
+fn played(run: &Run, day: &Day) -> String {
+    let pressed = digits(run.pressed(day));
+    format!(
+        "{} hollow, {} real, {} s, pressed {pressed}",
+        count(run.hollow.into()),
+        run.real,
+        digits(day.lasts_s)
+    )
+}
+
 fn added(results: &Results) -> String {
     let mut table = Table::new(&[
-        "servers known",
+        "servers listed",
         "interest set",
         "calls a second",
         "depth",
@@ -654,8 +667,8 @@
                 ms(point.added_p99_high_us)
             ),
             amount(point.cpu_us_a_call, Unit::Micros),
-            format!("{} of {} processes", amount(point.rss_bytes, Unit::Bytes), point.real),
-            format!("{} of the calls; {}, {}", answered(point), point.refused, point.lost),
+            format!("{} (most of {})", amount(point.rss_bytes, Unit::Bytes), point.real),
+            format!("{}; {}; {}", answered(point), point.refused, point.lost),
             format!("{}{why}", point.verdict.name()),
             file.clone(),
         ]);
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -1,5 +1,6 @@
-//! A fleet's plan as data: what operators told of the fleet to design for, and what is assumed beside it, each with its
-//! reason. Reads and proves the file; a fault is named with its line, key, value and the range that would be right.
+//! A fleet's plan as data: what operators told of the fleet to design for, and what is assumed beside it, each
+//! with its reason. Reads and proves the file; a fault is named with its line, key, value and the range that
+//! would be right.
 
 use anyhow::{Context, Result, anyhow};
 use dunlincleat_fleet::draw::{line_at, line_of};
@@ -468,7 +469,8 @@
         }
     }
 
-    /// The plan of a fleet that is larger by a factor, with the same control machines, and services called as before.
+    /// The plan of a fleet that is larger by a factor, with the same control machines, and services called as
+    /// before.
     #[must_use]
     pub fn grown(&self, factor: f64) -> Plan {
         let mut plan = self.clone();
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -1,5 +1,5 @@
-//! The capacity page: that it is what the committed plan and results give, what another plan gives, how a made-up set of
-//! results comes to figures, and how faults are named.
+//! The capacity page: that it is what the committed plan and results give, what another plan gives, how a
+//! made-up set of results comes to figures, and how faults are named.
 
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
@@ -155,8 +155,8 @@
     assert!(whole[2].ends_with('†'), "{whole:?}");
 }
 
-/// Figures worked out by hand from the made-up lines: 3,100 known without the interest set, and with it 60 of the hub, 200
-/// of the largest and 38 × 2,840 / 488 of other services: 481.1.
+/// Figures worked out by hand from the made-up lines: 3,100 known without the interest set, and with it 60 of
+/// the hub, 200 of the largest and 38 × 2,840 / 488 of other services: 481.1.
 #[test]
 fn made_up_results_come_to_figures_worked_out_by_hand() {
     let page = page(&plan(), &results(&made_up()));
