--- a/crates/sidecar/tests/ready.rs
+++ b/crates/sidecar/tests/ready.rs
@@ -6,7 +6,7 @@
 
 use common::*;
 use dunlincleat::api::Time;
-use dunlincleat_directory::{Listing, Snapshot};
+use dunlincleat_directory::{Interest, Listing, Snapshot};
 use serde_json::{Value, json};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -63,7 +63,8 @@
     let targets: Vec<Value> = entries.collect();
     let listing = Listing::from_value(json!({"rev": 9, "all": true, "targets": targets})).unwrap();
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-    Snapshot { fresh_at: Time(now.as_micros() as u64), listing }.encode()
+    let interest = Interest::default();
+    Snapshot { fresh_at: Time(now.as_micros() as u64), listing, interest }.encode()
 }
 
 /// Asks again and again until it is told to stop, from before anybody listens there; gives how many were answered.
