--- a/crates/lab/tests/slopes.rs
+++ b/crates/lab/tests/slopes.rs
@@ -91,6 +91,10 @@
     assert_eq!(out.status.code(), Some(0), "{said}");
     let read: Slopes = serde_json::from_slice(&std::fs::read(&path).unwrap()).unwrap();
     assert_eq!((read.v, read.kind.as_str(), read.rounds), (VERSION, KIND, 1));
+    assert!(
+        read.command.starts_with("dunlincleat-lab slopes --small") && !read.command.contains(" /"),
+        "{read:?}"
+    );
     let names: Vec<&str> = read.figures.iter().map(|figure| figure.name.as_str()).collect();
     assert!(figures.is_empty() || names == figures, "what was asked for, in the table's order: {names:?}");
     for figure in &read.figures {
