--- a/crates/lab/src/real.rs
+++ b/crates/lab/src/real.rs
@@ -205,9 +205,7 @@
                 // The same arrivals at each size.
                 let found = callers(known, wanted.seed.wrapping_mul(1000).wrapping_add(round)).play().await;
                 let found = found.with_context(|| format!("{known} servers known, round {round}"))?;
-                let sum = |of: &dyn Fn(&Second) -> u64| -> u64 {
-                    found.seconds.iter().map(|second| of(second)).sum()
-                };
+                let sum = |of: &dyn Fn(&Second) -> u64| -> u64 { found.seconds.iter().map(of).sum() };
                 crate::say(&format!(
                     "round {round}: {known} known, {} of {} calls served through sidecars, {} of {} directly",
                     sum(&|second| served(&second.through)),
