--- a/crates/duties/tests/common/mod.rs
+++ b/crates/duties/tests/common/mod.rs
@@ -3,7 +3,8 @@
 
 #![allow(dead_code)]
 
-use dunlincleat_duties::machine::{Held, Plant};
+use dunlincleat_duties::machine::Held;
+use dunlincleat_duties::plant::Plant;
 use dunlincleat_duties::{
     Datagram, Effect, Ended, Fence, Input, Member, Message, Moment, Notice, Output, Terms, To,
 };
