--- a/crates/lab/src/capacity/figures.rs
+++ b/crates/lab/src/capacity/figures.rs
@@ -7,6 +7,9 @@
 use crate::plan::{Change, Plan};
 use std::fmt::Write;
 
+/// What is said in place of a figure of a run that says nothing.
+pub const VOID: &str = "void";
+
 /// Whom a figure is of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Role {
@@ -175,6 +178,8 @@
     pub from: Vec<String>,
     /// It rests on a line drawn past what was measured.
     pub beyond: bool,
+    /// A part of it wasn't measured: it is this at least.
+    pub least: bool,
 }
 
 /// A figure, or why there is none.
@@ -243,7 +248,7 @@
             (Some(low), None) => low.1,
             (None, _) => first.1,
         };
-        return Some((value, format!("between the points measured, at {}", count(driver)), false));
+        return Some((value, format!("{} by its points, at {}", show(value), count(driver)), false));
     }
     let over = driver / last.0;
     let grown = match slope.form {
@@ -270,6 +275,7 @@
     working: String,
     from: Vec<String>,
     beyond: bool,
+    least: bool,
 }
 
 impl Sum {
@@ -299,12 +305,14 @@
         let _ = write!(self.working, " + {}", other.working);
         self.from.extend(other.from);
         self.beyond |= other.beyond;
+        self.least |= other.least;
     }
 
     fn cell(mut self) -> Cell {
         self.from.sort();
         self.from.dedup();
-        Ok(Value { is: self.is, working: self.working, from: self.from, beyond: self.beyond })
+        let Sum { is, working, from, beyond, least } = self;
+        Ok(Value { is, working, from, beyond, least })
     }
 }
 
@@ -381,7 +389,7 @@
         };
         let file = file.to_owned();
         match at(slope, driver, unit) {
-            Some((is, working, beyond)) => Ok(Value { is, working, from: vec![file], beyond }),
+            Some((is, working, beyond)) => Ok(Value { is, working, from: vec![file], beyond, least: false }),
             None => Err(format!("not worked out: {name}'s form isn't clear past {}", count(driver))),
         }
     }
@@ -391,7 +399,7 @@
         self.slope("whole-list-bytes", known, interest, Unit::Bytes).unwrap_or_else(|_| {
             let entry = self.plan.assumed.bytes_entry.is;
             let working = format!("{} × {} (assumed)", amount(entry, Unit::Bytes), count(known));
-            Value { is: entry * known, working, from: Vec::new(), beyond: false }
+            Value { is: entry * known, working, from: Vec::new(), beyond: false, least: false }
         })
     }
 
@@ -437,10 +445,18 @@
     fn cpu_of_control(&self, peak: bool, interest: bool) -> Result<Sum, String> {
         let known = self.known(interest);
         let mut sum = Sum::default();
-        let idle = self.slope("cpu-idle", known, interest, Unit::PartOfCore)?;
-        let shown = idle.working.clone();
-        sum.add_value("idle", idle, 1.0, Unit::PartOfCore);
-        let _ = write!(sum.working, " ({shown})");
+        // Without it the sum is the least that it can be, and says so.
+        match self.slope("cpu-idle", known, interest, Unit::PartOfCore) {
+            Ok(idle) => {
+                let shown = idle.working.clone();
+                sum.add_value("idle", idle, 1.0, Unit::PartOfCore);
+                let _ = write!(sum.working, " ({shown})");
+            }
+            Err(why) => {
+                sum.working.push_str(&format!("idle {why}"));
+                sum.least = true;
+            }
+        }
         let change = self.slope("change-applied", known, interest, Unit::Micros)?;
         sum.add_value("changes", change, self.list_changes(peak) * self.seen(known) / 1e6, Unit::PartOfCore);
         let taken = self.slope("settings-taken-up", known, interest, Unit::Micros)?;
@@ -462,6 +478,25 @@
         Ok(sum)
     }
 
+    /// Windows and draws where the operator's file has a pool for each service called. Measured with all servers known, it
+    /// says nothing of the interest set unless a run with it does.
+    fn cpu_of_pools(&self, peak: bool, interest: bool) -> Cell {
+        let own = &self.plan.assumed;
+        let calls = self.calls() * if peak { own.peak_over_mean.is } else { 1.0 };
+        let mut sum = Sum::default();
+        let window = self.by_services("window-step-by-services", interest, Unit::Micros)?;
+        sum.add_times("windows", window, own.windows_a_second.is);
+        sum.add_times("draws", self.by_services("decision-by-services", interest, Unit::Micros)?, calls);
+        sum.cell()
+    }
+
+    fn by_services(&self, name: &str, interest: bool, unit: Unit) -> Cell {
+        if !self.results.slopes[usize::from(interest)].contains_key(name) {
+            return Err(format!("not measured ({name})"));
+        }
+        self.slope(name, f64::from(self.plan.services_called_most()), interest, unit)
+    }
+
     /// What knowing the servers adds to the program in service, over the fewest that were measured.
     fn cpu_of_known(&self, interest: bool) -> Cell {
         let unit = Unit::PartOfCore;
@@ -526,6 +561,19 @@
             ));
         }
         let (follower, caller) = ((Role::Follower, When::Mean), (Role::Caller, When::Mean));
+        for (when, peak) in [(When::Mean, false), (When::Peak, true)] {
+            let what = "windows and draws, a pool for each service called";
+            rows.push(self.worked_row((Role::Caller, when), what, Limit::Cpu, DRAW, |interest| {
+                self.cpu_of_pools(peak, interest)
+            }));
+        }
+        let what = "state, a pool for each service called";
+        rows.push(self.worked_row(caller, what, Limit::Memory, MODULE, |interest| {
+            self.by_services("state-by-services", interest, Unit::Bytes)
+        }));
+        rows.push(self.worked_row(caller, "state, one pool", Limit::Memory, MODULE, |interest| {
+            self.slope("state", self.known(interest), interest, Unit::Bytes)
+        }));
         rows.push(self.worked_row(
             caller,
             "what knowing its servers adds in service",
@@ -552,7 +600,7 @@
             let bound = (f64::from(self.plan.assumed.sidecar_descriptors.is) - 40.0) / 2.0;
             let servers = self.known(interest).min(bound).round();
             let working = format!("40 kept + {} of at most {}", count(servers), count(bound));
-            Ok(Value { is: 40.0 + servers, working, from: Vec::new(), beyond: false })
+            Ok(Value { is: 40.0 + servers, working, from: Vec::new(), beyond: false, least: false })
         }));
         self.worked_losses(&mut rows);
         self.worked_control(&mut rows);
@@ -628,7 +676,13 @@
             let sidecars = self.sidecars(false);
             let all = |each: Sum| {
                 let working = format!("{} × ({})", count(sidecars), each.working);
-                Ok(Value { is: each.is * sidecars, working, from: each.from, beyond: each.beyond })
+                Ok(Value {
+                    is: each.is * sidecars,
+                    working,
+                    from: each.from,
+                    beyond: each.beyond,
+                    least: each.least,
+                })
             };
             rows.push(self.worked_row(
                 control,
@@ -671,7 +725,7 @@
             |_| {
                 let sidecars = self.sidecars(true);
                 let working = format!("{} × 2, one late and one beside it", count(sidecars));
-                Ok(Value { is: 2.0 * sidecars, working, from: Vec::new(), beyond: false })
+                Ok(Value { is: 2.0 * sidecars, working, from: Vec::new(), beyond: false, least: false })
             },
         ));
     }
@@ -684,7 +738,7 @@
                 for seen in &day.figures {
                     let Some((role, what, unit, limit)) = place(seen) else { continue };
                     let cell = match (day.verdict, judged(seen)) {
-                        (Verdict::Void, _) => Err("void".to_owned()),
+                        (Verdict::Void, _) => Err(VOID.to_owned()),
                         (_, None) => Err("not measured".to_owned()),
                         (_, Some((is, of))) => {
                             let pressed = match run.pressed(day) {
@@ -699,7 +753,7 @@
                             };
                             let working = format!("{of}{pressed}{fewer}");
                             let is = if seen.unit == "ms" { is / 1e3 } else { is };
-                            Ok(Value { is, working, from: vec![file.clone()], beyond: false })
+                            Ok(Value { is, working, from: vec![file.clone()], beyond: false, least: false })
                         }
                     };
                     let side = usize::from(run.interest);
@@ -746,7 +800,7 @@
                 return Err("not measured at this size".to_owned());
             };
             if point.verdict == Verdict::Void {
-                return Err("void".to_owned());
+                return Err(VOID.to_owned());
             }
             let low_high =
                 [point.added_p99_low_us, point.added_p99_high_us].map(|us| amount(us / 1e3, Unit::Millis));
@@ -758,7 +812,13 @@
                 low_high[1],
                 answered(point)
             );
-            Ok(Value { is: point.added_p99_us / 1e3, working, from: vec![file.clone()], beyond: false })
+            Ok(Value {
+                is: point.added_p99_us / 1e3,
+                working,
+                from: vec![file.clone()],
+                beyond: false,
+                least: false,
+            })
         };
         let (role, what, when) = (Role::Caller, "through the sidecar against the direct way", When::Mean);
         let (unit, limit, cells) = (Unit::Millis, Some(Limit::Added), Self::both(cell));
--- a/crates/lab/src/capacity/tables.rs
+++ b/crates/lab/src/capacity/tables.rs
@@ -1,7 +1,7 @@
 //! The page's tables, from the plan and the figures.
 
-use super::figures::{Cell, How, Limit, Role, Row, Unit, Value, When, Work, answered, median};
-use super::results::{Day, Results, Run, Seen};
+use super::figures::{Cell, How, Limit, Role, Row, Unit, VOID, Value, When, Work, answered, median};
+use super::results::{Day, Results, Run, Seen, Verdict};
 use super::show::{amount, count, digits, factor, part};
 use crate::plan::{Change, Plan};
 use std::collections::BTreeMap;
@@ -27,7 +27,10 @@
 /// The figure alone.
 fn figure(cell: &Cell, unit: Unit) -> String {
     match cell {
-        Ok(value) => format!("{}{}", amount(value.is, unit), if value.beyond { " †" } else { "" }),
+        Ok(value) => {
+            let least = if value.least { "at least " } else { "" };
+            format!("{least}{}{}", amount(value.is, unit), if value.beyond { " †" } else { "" })
+        }
         Err(why) => why.clone(),
     }
 }
@@ -40,8 +43,14 @@
     }
 }
 
+/// The room that a limit leaves: no more than this where a part of the figure wasn't measured.
+fn room_of(cell: &Cell, room: f64) -> String {
+    let most = if cell.as_ref().is_ok_and(|value| value.least) { "at most " } else { "" };
+    format!("{most}{}", factor(room))
+}
+
 fn headroom(row: &Row, plan: &Plan, side: usize) -> String {
-    row.headroom(plan, side).map_or_else(|| NONE.to_owned(), factor)
+    row.headroom(plan, side).map_or_else(|| NONE.to_owned(), |room| room_of(&row.cells[side], room))
 }
 
 /// The runs that a row rests on.
@@ -121,23 +130,35 @@
             let sides = [0, 1].map(|side| worst(plan, &of, side));
             let shown = |side: usize| {
                 let Some((row, room)) = sides[side] else {
-                    return ("not measured".to_owned(), NONE.to_owned());
+                    let played_void =
+                        of.iter().any(|row| row.cells[side].as_ref().is_err_and(|why| why == VOID));
+                    return (if played_void { VOID } else { "not measured" }.to_owned(), NONE.to_owned());
                 };
-                (format!("{}, {}", figure(&row.cells[side], row.unit), row.when.name()), factor(room))
+                (
+                    format!("{}, {}", figure(&row.cells[side], row.unit), row.when.name()),
+                    room_of(&row.cells[side], room),
+                )
             };
             let ((before, room_before), (after, room_after)) = (shown(0), shown(1));
-            let verdict = |room: f64| {
-                if room >= 1.0 {
-                    "holds".to_owned()
-                } else {
-                    format!("missed by {}", digits((1.0 / room).max(1.01)))
+            let verdict = |row: &Row, room: f64, side: usize| {
+                let least = row.cells[side].as_ref().is_ok_and(|value| value.least);
+                match (room >= 1.0, least) {
+                    (true, false) => "holds".to_owned(),
+                    (true, true) => "holds as far as it was measured".to_owned(),
+                    (false, _) => format!("missed by {}", digits((1.0 / room).max(1.01))),
                 }
             };
-            let verdict = match sides.map(|side| side.map(|(_, room)| room)) {
-                [_, Some(room)] => format!("{} with it", verdict(room)),
-                [Some(room), None] => format!("{} without it", verdict(room)),
+            let mut verdict = match sides {
+                [_, Some((row, room))] => format!("{} with it", verdict(row, room, 1)),
+                [Some((row, room)), None] => format!("{} without it", verdict(row, room, 0)),
                 [None, None] => "nothing can be said".to_owned(),
             };
+            // Two figures of different things must not read as before and after.
+            if let [Some((row, _)), Some(_)] = sides
+                && row.cells[1].is_err()
+            {
+                verdict.push_str("; what was most without it was not measured with it");
+            }
             let name = format!("{}: {}", limit.name(), amount(limit.of(plan), limit.unit()));
             table.row(&[name, how.name().into(), before, room_before, after, room_after, verdict]);
         }
@@ -483,23 +504,25 @@
             let fits = |row: &&Row| row.counts && row.limit == Some(limit) && row.when == when;
             let of: Vec<&Row> = grown[n].iter().filter(fits).collect();
             let worst = worst(&plans[n], &of, side);
-            worst.map(|(row, room)| (room, row.cells[side].as_ref().is_ok_and(|value| value.beyond)))
+            worst.map(|(row, room)| {
+                let beyond = row.cells[side].as_ref().is_ok_and(|value| value.beyond);
+                (room, format!("{}{}", room_of(&row.cells[side], room), if beyond { " †" } else { "" }))
+            })
         };
         let rooms = [0, 1].map(|side| [0, 1, 2].map(|n| room(n, side)));
         if rooms.iter().flatten().all(Option::is_none) {
             continue;
         }
-        let shown = |room: Option<(f64, bool)>| {
-            room.map_or("not worked out".into(), |(room, beyond)| {
-                format!("{}{}", factor(room), if beyond { " †" } else { "" })
-            })
+        let shown = |room: &Option<(f64, String)>| {
+            room.as_ref().map_or_else(|| "not worked out".to_owned(), |(_, shown)| shown.clone())
         };
-        let breaks = rooms.map(|of| breaks_at(&factors, &of.map(|room| room.map(|(room, _)| room))));
+        let of = rooms.each_ref().map(|of| of.each_ref().map(|room| room.as_ref().map(|(room, _)| *room)));
+        let breaks = of.map(|of| breaks_at(&factors, &of));
         let mut cells = vec![limit.name().to_owned(), when.name().to_owned()];
-        cells.extend([0, 1, 2].map(|n| format!("{}, {}", shown(rooms[0][n]), shown(rooms[1][n]))));
+        cells.extend([0, 1, 2].map(|n| format!("{}, {}", shown(&rooms[0][n]), shown(&rooms[1][n]))));
         let first = breaks[1].as_ref().map_or(f64::INFINITY, |at| at.0);
         cells.extend(breaks.map(|at| at.map_or("not by 10".into(), |at| at.1)));
-        let room = rooms[1][2].or(rooms[0][2]).map_or(f64::INFINITY, |(room, _)| room);
+        let room = of[1][2].or(of[0][2]).unwrap_or(f64::INFINITY);
         lines.push((if first.is_finite() { first } else { 100.0 + room }, cells));
     }
     lines.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -547,9 +570,13 @@
         "run",
     ]);
     const SIDECAR: [&str; 2] = ["sidecar", "follower"];
-    let show = |seen: Option<f64>, unit: Unit| seen.map_or(NONE.to_owned(), |is| amount(is, unit));
     for (file, run) in &results.runs {
         for day in &run.days {
+            let void = day.verdict == Verdict::Void;
+            let show = |seen: Option<f64>, unit: Unit| match seen {
+                Some(_) if void => VOID.to_owned(),
+                seen => seen.map_or(NONE.to_owned(), |is| amount(is, unit)),
+            };
             let of = |roles: &[&str], name: &str| seen(run, &day.name, roles, name);
             let force = of(&SIDECAR, "in-force");
             let (bytes, messages) = (of(&SIDECAR, "bytes-in"), of(&SIDECAR, "messages-in"));
@@ -652,21 +679,24 @@
     ]);
     let ms = |us: f64| amount(us / 1e3, Unit::Millis);
     for (file, point) in &results.added {
+        // What is void says nothing, and its figures would be read all the same.
+        let void = point.verdict == Verdict::Void;
+        let told = |text: String| if void { VOID.to_owned() } else { text };
         let why = if point.why.is_empty() { String::new() } else { format!(": {}", point.why.join("; ")) };
         table.row(&[
             count(point.known.into()),
             if point.interest { "with" } else { "without" }.into(),
             digits(point.rate),
             point.depth.to_string(),
-            format!("{}, {}", ms(point.direct_p99_us), ms(point.through_p99_us)),
-            ms(point.added_p50_us),
-            format!(
+            told(format!("{}, {}", ms(point.direct_p99_us), ms(point.through_p99_us))),
+            told(ms(point.added_p50_us)),
+            told(format!(
                 "{} ({} to {})",
                 ms(point.added_p99_us),
                 ms(point.added_p99_low_us),
                 ms(point.added_p99_high_us)
-            ),
-            amount(point.cpu_us_a_call, Unit::Micros),
+            )),
+            told(amount(point.cpu_us_a_call, Unit::Micros)),
             format!("{} (most of {})", amount(point.rss_bytes, Unit::Bytes), point.real),
             format!("{}; {}; {}", answered(point), point.refused, point.lost),
             format!("{}{why}", point.verdict.name()),
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -456,10 +456,15 @@
         all
     }
 
+    /// Services that the widest sidecar calls.
+    pub fn services_called_most(&self) -> u32 {
+        self.assumed.services_called.is.iter().map(|called| called.services).max().unwrap_or(1)
+    }
+
     /// Servers that the widest sidecar calls: the hub's, the largest service's, and those of so many others.
     pub fn servers_called_most(&self) -> f64 {
         let own = &self.assumed;
-        let widest = own.services_called.is.iter().map(|called| called.services).max().unwrap_or(1);
+        let widest = self.services_called_most();
         let (hub, largest) = (f64::from(own.hub_endpoints.is), f64::from(own.largest_endpoints.is));
         let all = f64::from(self.told.endpoints);
         let others = (all - hub - largest) / f64::from(self.told.services - 2);
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -167,15 +167,16 @@
     assert_eq!(memory[5], "5.42, 16.2");
     assert_eq!((memory[6].as_str(), memory[7].as_str()), ("worked out", "slopes-before"));
     // Windows 10 × 320 us, draws 222.6 × 621 us: 14.1% of a core, a third of which is allowed.
-    let draws = row(&page, "role-caller", &["windows and draws", "changes at mean"]);
+    let draws = row(&page, "role-caller", &["windows and draws", "changes at mean", "windows 0.32%"]);
     assert!(draws[2].ends_with("= 14.1%"), "{draws:?}");
     assert!(draws[5].starts_with("**0.332 missed**, "), "{draws:?}");
     // What isn't straight is read between its points and not off its line: 0.9% at 3,100.
     let control = row(&page, "role-follower", &["control without windows", "changes at mean"]);
-    assert!(control[2].starts_with("idle 0.9% (between the points measured, at 3,100)"), "{control:?}");
-    // Past the points it isn't clear, and nothing is made of it.
+    assert!(control[2].starts_with("idle 0.9% (0.9% by its points, at 3,100)"), "{control:?}");
+    // Past the points it isn't clear, and nothing is made of it: what is left of the sum is the least.
     let grown = row(&page, "growth", &["a sidecar's processor time", "a zone at once"]);
-    assert!(grown[3].starts_with("not worked out, "), "{grown:?}");
+    assert_eq!(grown[2], "4.28, 14.5");
+    assert!(grown[3].starts_with("at most ") && grown[3].ends_with(", 12.4"), "{grown:?}");
     // A watch opened anew: 100 + 90 × 3,100 bytes, a tenth of it each second of ten, and some for ordinary changes.
     let anew = row(&page, "rank", &["", "a sidecar's bytes", "follower of discovery: a watch opened anew"]);
     assert_eq!((anew[5].as_str(), anew[6].as_str()), ("27.9 KB/s", "**0.358 missed**"));
@@ -216,6 +217,8 @@
     let restarts = row(&page, "failures", &["restarts of a day", "780 a day", "a sidecar's bytes"]);
     assert_eq!(restarts[4..8], ["900 B/s", "11.1", "void", "-"]);
     assert_eq!(restarts[8], "scale-before");
+    let day = row(&page, "sizes", &["3,100", "with", "restarts", "3,092 hollow", "void"]);
+    assert_eq!((day[4].as_str(), day[10].as_str()), ("void, void, void", "void"));
     // A control machine's bytes: the most in a second.
     let control = row(&page, "role-control", &["bytes out", "a zone at once"]);
     assert_eq!(control[2], "most of any in any second = 20 MB/s");
@@ -223,6 +226,16 @@
     let broken = row(&page, "verdicts", &["310", "without", "zone"]);
     assert_eq!(broken[5], "bytes-in: 10 KB/s, seed 1, at 3.2 s, h17 \\| first");
     assert_eq!(row(&page, "hollow-real", &["scale-before"])[1..3], ["41 and 41", "90,210 and 90,210: equal"]);
+    // A point of calls that is void has its counts and its reasons, and no figures; nor has the answer.
+    let folder = tempfile::tempdir().unwrap();
+    let text = std::fs::read_to_string(made_up().join("added-before.json")).unwrap();
+    let void = folder.path().join("added-void.json");
+    std::fs::write(&void, text.replace("\"broken\"", "\"void\"")).unwrap();
+    let void = self::page(&plan(), &[void.display().to_string()]);
+    let point = row(&void, "added", &["3,100", "without", "223", "1"]);
+    assert_eq!(point[4..8], ["void", "void", "void", "void"]);
+    assert_eq!(point[9..11], ["97%; 30; 0", "void: added p99"]);
+    assert_eq!(row(&void, "answer", &["added to a call"])[1..4], ["played", "void", "-"]);
     // Ranked by the room without the mechanism.
     let rooms: Vec<f64> = table(&page, "rank")
         .iter()
@@ -231,6 +244,30 @@
     assert!(rooms.len() > 10 && rooms.is_sorted(), "{rooms:?}");
 }
 
+/// A sum without one of its parts is told as the least that it can be; and what was measured on one side alone isn't held
+/// against another thing on the other.
+#[test]
+fn parts_that_were_not_measured_are_told_in_sums_and_verdicts() {
+    let folder = tempfile::tempdir().unwrap();
+    let text = std::fs::read_to_string(made_up().join("slopes-before.json")).unwrap();
+    let path = folder.path().join("slopes-parts.json");
+    let text = text.replace("cpu-idle", "another").replace("memory-in-service", "state-by-services");
+    assert!(text.contains("\"intercept\": 6000000.0"));
+    std::fs::write(&path, text.replace("\"intercept\": 6000000.0", "\"intercept\": 60000000.0")).unwrap();
+    let page = page(&plan(), &[path.display().to_string()]);
+    let control = row(&page, "role-follower", &["control without windows", "changes at mean"]);
+    assert!(control[2].starts_with("idle not measured (cpu-idle) + changes"), "{control:?}");
+    assert!(control[2].contains(" = at least "), "{control:?}");
+    let answer = row(&page, "answer", &["a sidecar's processor time", "worked out"]);
+    assert!(answer[2].starts_with("at least "), "{answer:?}");
+    let memory = row(&page, "answer", &["a sidecar's memory", "worked out"]);
+    assert_eq!(memory[2], "60.4 MB, changes at mean");
+    assert_eq!(memory[4], "7.89 MB, changes at mean");
+    assert_eq!(memory[6], "holds with it; what was most without it was not measured with it");
+    let pools = row(&page, "role-caller", &["state, a pool for each service"]);
+    assert_eq!(pools[3], "not measured (state-by-services)");
+}
+
 #[test]
 fn what_has_no_result_is_told_as_not_measured() {
     let page = page(&plan(), &[]);
