--- a/crates/sidecar/tests/ready.rs
+++ b/crates/sidecar/tests/ready.rs
@@ -91,6 +91,15 @@
     answered
 }
 
+/// Tells clients to stop when it is dropped.
+struct Stop<'a>(&'a AtomicBool);
+
+impl Drop for Stop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// What the log tells of a start, in milliseconds after its process was made.
 #[derive(Debug)]
 struct Start {
@@ -119,6 +128,8 @@
     let listen: SocketAddr = setup.config["listen"].as_str().unwrap().parse().unwrap();
     let stop = AtomicBool::new(false);
     thread::scope(|scope| {
+        // A start that failed ends its clients too, else the test would wait for them for ever.
+        let stopped = Stop(&stop);
         for _ in 0..CLIENTS {
             scope.spawn(|| asks(listen, &stop));
         }
@@ -132,7 +143,7 @@
         let ready = began.elapsed().as_millis() as u64;
         let taken = format!("list as last held revision 9: {servers} up");
         sidecar.logged(&taken);
-        stop.store(true, Ordering::SeqCst);
+        drop(stopped);
         let lines = sidecar.log.all();
         // A line begins with its Unix time, "seconds.millis".
         let told = |what: &str| {
