--- a/crates/lab/src/scale/judge.rs
+++ b/crates/lab/src/scale/judge.rs
@@ -221,7 +221,8 @@
 
 /// The time until each version was in force where it was due.
 fn in_force(day: &Day, seen: &Seen, limits: &Limits, why: &mut Vec<String>) -> Figure {
-    let (mut took, mut never): (Vec<(f64, String)>, BTreeMap<usize, (u64, u64)>) = Default::default();
+    let mut took = Vec::new();
+    let mut never: BTreeMap<usize, (u64, u64)> = BTreeMap::new();
     let mut latest: Option<(f64, u64, u64, usize)> = None;
     let mut due: Vec<&Due> = day.due.iter().collect();
     due.sort_by_key(|due| due.at);
