--- a/crates/lab/src/capacity/figures.rs
+++ b/crates/lab/src/capacity/figures.rs
@@ -478,8 +478,8 @@
         Ok(sum)
     }
 
-    /// Windows and draws where the operator's file has a pool for each service called. Measured with all servers known, it
-    /// says nothing of the interest set unless a run with it does.
+    /// Windows and draws where the operator's file has a pool for each service called. Measured with all
+    /// servers known, it says nothing of the interest set unless a run with it does.
     fn cpu_of_pools(&self, peak: bool, interest: bool) -> Cell {
         let own = &self.plan.assumed;
         let calls = self.calls() * if peak { own.peak_over_mean.is } else { 1.0 };
@@ -494,6 +494,13 @@
         if !self.results.slopes[usize::from(interest)].contains_key(name) {
             return Err(format!("not measured ({name})"));
         }
+        // Services are varied with as many servers known as were known at most; the figure is of a fleet of that size alone.
+        let slopes = self.results.slopes[usize::from(interest)].values().map(|(_, slope)| slope);
+        let by_servers = slopes.filter(|slope| slope.driver == "known-servers");
+        let most = by_servers.flat_map(|slope| &slope.points).map(|point| point.at).fold(0.0, f64::max);
+        if (self.known(interest) - most).abs() > 0.001 * most {
+            return Err(format!("not worked out: {name} was measured with {} known", count(most)));
+        }
         self.slope(name, f64::from(self.plan.services_called_most()), interest, unit)
     }
 
--- a/crates/lab/src/capacity/tables.rs
+++ b/crates/lab/src/capacity/tables.rs
@@ -500,9 +500,19 @@
     let grown = plans.each_ref().map(|plan| Work { plan, results }.worked());
     let mut lines: Vec<(f64, Vec<String>)> = Vec::new();
     for (limit, when) in Limit::ALL.into_iter().flat_map(|limit| When::ALL.map(|when| (limit, when))) {
+        let fits = |row: &&Row| row.counts && row.limit == Some(limit) && row.when == when;
+        // Of those that come to a figure at each growth, where there are such: else one size is held against another thing.
+        let whole = |what: &str, side: usize| {
+            let same = |rows: &Vec<Row>| {
+                rows.iter().filter(fits).any(|row| row.what == what && row.cells[side].is_ok())
+            };
+            grown.iter().all(same)
+        };
         let room = |n: usize, side: usize| {
-            let fits = |row: &&Row| row.counts && row.limit == Some(limit) && row.when == when;
-            let of: Vec<&Row> = grown[n].iter().filter(fits).collect();
+            let mut of: Vec<&Row> = grown[n].iter().filter(fits).collect();
+            if of.iter().any(|row| whole(row.what, side)) {
+                of.retain(|row| whole(row.what, side));
+            }
             let worst = worst(&plans[n], &of, side);
             worst.map(|(row, room)| {
                 let beyond = row.cells[side].as_ref().is_ok_and(|value| value.beyond);
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -244,8 +244,8 @@
     assert!(rooms.len() > 10 && rooms.is_sorted(), "{rooms:?}");
 }
 
-/// A sum without one of its parts is told as the least that it can be; and what was measured on one side alone isn't held
-/// against another thing on the other.
+/// A sum without one of its parts is told as the least that it can be; and what was measured on one side alone
+/// isn't held against another thing on the other.
 #[test]
 fn parts_that_were_not_measured_are_told_in_sums_and_verdicts() {
     let folder = tempfile::tempdir().unwrap();
@@ -266,6 +266,9 @@
     assert_eq!(memory[6], "holds with it; what was most without it was not measured with it");
     let pools = row(&page, "role-caller", &["state, a pool for each service"]);
     assert_eq!(pools[3], "not measured (state-by-services)");
+    // It is of a fleet of the size measured alone, and doesn't stand still as the fleet grows.
+    let grown = row(&page, "growth", &["a sidecar's memory"]);
+    assert_eq!(grown[2..4], ["5.42, 16.2", "3.03 †, 13.6"]);
 }
 
 #[test]
