The slopes' list of the program is read, or it ends

Cause: the stand-in list tells what it holds since the added calls were taken in, and ends where nobody reads it; the slopes' rig dropped its output, so that the sidecar was told nothing (seen: 'the sidecar does not say list changes'). Change: its output is read.

--- a/crates/lab/src/slopes/program.rs
+++ b/crates/lab/src/slopes/program.rs
@@ -167,6 +167,8 @@
     let first = timeout(PATIENCE, lines.next_line()).await.context("the list does not begin")??;
     let event: Event = serde_json::from_str(&first.context("the list ended")?)?;
     let What::Listens { on } = event.what else { bail!("the list does not say where it listens") };
+    // It ends where nobody reads what it saw.
+    actix_rt::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
     let hold = Order::Hold(BTreeMap::from([(NAME.to_owned(), servers.listed())]));
     orders.write_all((serde_json::to_string(&hold)? + "\n").as_bytes()).await?;
     Ok((process, orders, *on.first().context("the list listens nowhere")?))
