Control tells of a change of several services each its own; twins call the same

Cause: the stand-in told a change whole to whoever wanted any entry of it: with the interest set a zone lost was still 60 KB in one second at each of 800 hollow sidecars. And hollow against real compared two sidecars with other services (25 messages and 1). Change: a change's line is made of the wanted entries where not all are; the two twins call the same services.

--- a/crates/lab/src/scale/play.rs
+++ b/crates/lab/src/scale/play.rs
@@ -819,6 +819,8 @@
 pub async fn hollow_against_real(of: &Play) -> Result<HollowReal> {
     let play = Play { hollow: 1, real: 1, controls: 1, rate: 0.0, plants: BTreeMap::new(), ..of.clone() };
     let mut rig = Rig::start(&play)?;
+    // Both call the same services, or they would not be told the same.
+    rig.fleet.calls[1] = rig.fleet.calls[0].clone();
     rig.begin().await?;
     rig.calm().await?;
     let start = Instant::now();
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -253,4 +253,10 @@
     let mut again = control.call(1, "/v1/servers?watch=1&after=6&models=pay");
     let heard = again.until(8);
     assert!(heard.contains("removed") && !heard.contains("s-2"), "{heard}");
+
+    // Of a change of several services each is told its own: a zone lost was told to all whole.
+    let both = [entry("s-1", "pay", "up"), entry("s-2", "book", "up")];
+    control.tell(&serde_json::json!({"change": {"rev": 9, "entries": both}}));
+    let heard = again.until(9);
+    assert!(heard.contains("s-1") && heard.contains("\"up\"") && !heard.contains("s-2"), "{heard}");
 }
--- a/crates/trial/src/control.rs
+++ b/crates/trial/src/control.rs
@@ -158,11 +158,24 @@
 /// A change as it was encoded.
 struct Change {
     rev: u64,
-    models: BTreeSet<String>,
-    /// The line in its chunk.
+    /// The service of each entry, and the entry as it is written.
+    entries: Vec<(String, String)>,
+    /// The line of all in its chunk.
     chunk: Bytes,
 }
 
+impl Change {
+    /// What of it is told to who wants this: nothing where none of its entries is wanted.
+    fn told(&self, interest: &Interest) -> Option<Bytes> {
+        let wanted = || self.entries.iter().filter(|(model, _)| interest.wants(model));
+        match wanted().count() {
+            0 => None,
+            all if all == self.entries.len() => Some(self.chunk.clone()),
+            _ => Some(chunk(&line(self.rev, false, wanted().map(|(_, text)| text.as_str())))),
+        }
+    }
+}
+
 /// The list.
 #[derive(Default)]
 struct List {
@@ -202,18 +215,17 @@
             self.from = rev;
         }
         (self.rev, self.whole) = (rev, None);
-        let (mut models, mut encoded) = (BTreeSet::new(), Vec::new());
+        let mut changed = Vec::new();
         for entry in entries {
             let text = serde_json::to_string(&entry).unwrap_or_default();
-            models.insert(entry.model.clone());
             if !all {
-                encoded.push(text.clone());
+                changed.push((entry.model.clone(), text.clone()));
             }
             self.held.insert(entry.uid.clone(), Held { entry, since: rev, encoded: text });
         }
         if !all {
-            let chunk = chunk(&line(rev, false, encoded.iter().map(String::as_str)));
-            self.recent.push_back(Change { rev, models, chunk });
+            let chunk = chunk(&line(rev, false, changed.iter().map(|(_, text)| text.as_str())));
+            self.recent.push_back(Change { rev, entries: changed, chunk });
             if self.recent.len() > RECENT {
                 self.from = self.recent.pop_front().map_or(self.from, |change| change.rev);
             }
@@ -263,9 +275,7 @@
             return lines.push(chunk(&self.of(interest, Some(after))));
         }
         let behind = self.recent.partition_point(|change| change.rev <= after);
-        let new = self.recent.range(behind..);
-        let wanted = new.filter(|change| change.models.iter().any(|model| interest.wants(model)));
-        lines.extend(wanted.map(|change| change.chunk.clone()));
+        lines.extend(self.recent.range(behind..).filter_map(|change| change.told(interest)));
     }
 }
 
