--- /dev/null
+++ b/crates/lab/tests/common/mod.rs
@@ -0,0 +1,50 @@
+//! What tests on real processes share: the lab with the program beside it, and what a run has started.
+
+#![allow(dead_code)]
+
+use std::path::PathBuf;
+use std::process::{Child, Command};
+use std::time::{Duration, Instant};
+
+/// The program of this name, built beside the lab.
+pub fn program(name: &str) -> PathBuf {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_dunlincleat-lab")).with_file_name(name);
+    let build = ["build", "--locked", "-p", "dunlincleat-sidecar"];
+    let built = Command::new(env!("CARGO")).args(build).status().unwrap();
+    assert!(built.success() && program.is_file(), "{}", program.display());
+    program
+}
+
+pub fn lab() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_dunlincleat-lab"))
+}
+
+/// The processes that a run has started, once there are so many.
+pub fn children(run: &Child, wanted: usize, within: Duration) -> Vec<String> {
+    let end = Instant::now() + within;
+    loop {
+        let path = format!("/proc/{0}/task/{0}/children", run.id());
+        let found = std::fs::read_to_string(path).unwrap_or_default();
+        let found: Vec<String> = found.split_whitespace().map(str::to_owned).collect();
+        if found.len() == wanted {
+            return found;
+        }
+        assert!(Instant::now() < end, "{} of {wanted} processes", found.len());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn lives(id: &str) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    stat.rsplit(')').next().is_some_and(|rest| !rest.is_empty() && !rest.trim().starts_with('Z'))
+}
+
+/// Waits until none of them runs.
+pub fn all_end(children: &[String], within: Duration) {
+    let end = Instant::now() + within;
+    while children.iter().any(|id| lives(id)) {
+        let still: Vec<&String> = children.iter().filter(|id| lives(id)).collect();
+        assert!(Instant::now() < end, "{still:?} still run");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
--- a/crates/lab/tests/real.rs
+++ b/crates/lab/tests/real.rs
@@ -1,22 +1,22 @@
 //! Real sidecars beside stand-in servers, as `added` measures them: by counts alone, so that a busy machine tells the same.
 
+mod common;
+
+use common::{all_end, children, program};
 use serde_json::Value;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Command, Output, Stdio};
 use std::sync::LazyLock;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// The lab, with the sidecar built beside it.
-static LAB: LazyLock<PathBuf> = LazyLock::new(|| {
-    let lab = PathBuf::from(env!("CARGO_BIN_EXE_dunlincleat-lab"));
-    let build = ["build", "--locked", "-p", "dunlincleat-sidecar"];
-    let built = Command::new(env!("CARGO")).args(build).status().unwrap();
-    assert!(built.success() && lab.with_file_name("dunlincleat-sidecar").is_file());
-    lab
-});
+/// The sidecar, built once beside the lab.
+static SIDECAR: LazyLock<PathBuf> = LazyLock::new(|| program("dunlincleat-sidecar"));
+/// How long processes may take to begin and to end.
+const PATIENCE: Duration = Duration::from_secs(20);
 
 fn lab() -> Command {
-    Command::new(LAB.as_path())
+    LazyLock::force(&SIDECAR);
+    common::lab()
 }
 
 fn added(out: &Path, arguments: &[&str]) -> Output {
@@ -33,38 +33,6 @@
     point[key].as_u64().unwrap_or_else(|| panic!("{key} of {point}"))
 }
 
-fn lives(id: &str) -> bool {
-    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-    stat.rsplit(')').next().is_some_and(|rest| !rest.is_empty() && !rest.trim().starts_with('Z'))
-}
-
-/// The processes that a run has started, once there are so many.
-fn children(run: &Child, wanted: usize) -> Vec<String> {
-    let end = Instant::now() + Duration::from_secs(20);
-    loop {
-        let path = format!("/proc/{0}/task/{0}/children", run.id());
-        let found = std::fs::read_to_string(path).unwrap_or_default();
-        let found: Vec<String> = found.split_whitespace().map(str::to_owned).collect();
-        if found.len() == wanted {
-            return found;
-        }
-        assert!(Instant::now() < end, "{} of {wanted} processes", found.len());
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
-fn all_end(children: &[String]) {
-    let end = Instant::now() + Duration::from_secs(20);
-    while children.iter().any(|id| lives(id)) {
-        assert!(
-            Instant::now() < end,
-            "{:?} still run",
-            children.iter().filter(|id| lives(id)).collect::<Vec<_>>()
-        );
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 /// Every call has one answer, each sidecar was told of every server (the run fails where one was not), and all that was
 /// started is gone when the run is.
 #[test]
@@ -79,9 +47,9 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    let children = children(&run, 2 + 2);
+    let children = children(&run, 2 + 2, PATIENCE);
     let done = run.wait_with_output().unwrap();
-    all_end(&children);
+    all_end(&children, PATIENCE);
     let text = String::from_utf8_lossy(&done.stdout);
     assert_eq!(done.status.code(), Some(0), "{text}{}", String::from_utf8_lossy(&done.stderr));
     let points = points(&out);
@@ -122,10 +90,10 @@
         .stdout(Stdio::null())
         .spawn()
         .unwrap();
-    let children = children(&run, 3 + 2);
+    let children = children(&run, 3 + 2, PATIENCE);
     run.kill().unwrap();
     run.wait().unwrap();
-    all_end(&children);
+    all_end(&children, PATIENCE);
 }
 
 /// What can't be played is refused before anything starts, with the flag, its value and what would be right.
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -1,29 +1,18 @@
 //! The scale run in its short form, judged by counts alone, so that a busy machine tells the same; planted faults, each
 //! named; control's counts against what came; and what is refused or left behind.
 
+mod common;
+
+use common::{all_end, children, lab, program};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
 use std::process::{Child, ChildStdin, Command, Output, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(60);
 
-/// The program under test, built beside the lab.
-fn program() -> PathBuf {
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_dunlincleat-lab")).with_file_name("dunlincleat-sidecar");
-    let build = ["build", "--locked", "-p", "dunlincleat-sidecar"];
-    let built = Command::new(env!("CARGO")).args(build).status().unwrap();
-    assert!(built.success() && program.is_file(), "{}", program.display());
-    program
-}
-
-fn lab() -> Command {
-    Command::new(env!("CARGO_BIN_EXE_dunlincleat-lab"))
-}
-
 fn told(out: &Output) -> String {
     String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr)
 }
@@ -32,7 +21,7 @@
 /// the whole list, each message that control wrote was taken, and a hollow one is sent what a real one is.
 #[test]
 fn a_hundred_sidecars_have_every_change_in_force() {
-    program();
+    program("dunlincleat-sidecar");
     let common = ["scale", "--counts", "--sizes", "102", "--hollow", "100", "--real", "2", "--lasts", "4"];
     let days = ["--days", "changes-peak,restarts,zone,control-killed,reconnects", "--waits", "60"];
     let out = lab().args(common).args(days).output().unwrap();
@@ -75,15 +64,10 @@
     assert!(told(&out).contains("GB; right would be under 12"), "{}", told(&out));
 }
 
-fn lives(id: &str) -> bool {
-    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-    stat.rsplit(')').next().is_some_and(|rest| !rest.is_empty() && !rest.trim().starts_with('Z'))
-}
-
 /// A rig that is killed leaves nothing behind.
 #[test]
 fn nothing_outlives_a_scale_run_that_is_killed() {
-    program();
+    program("dunlincleat-sidecar");
     let mut rig = lab()
         .args(["scale", "--sizes", "12", "--hollow", "10", "--real", "2", "--lasts", "60"])
         .args(["--days", "all-anew,changes-peak"])
@@ -92,25 +76,11 @@
         .unwrap();
     let mut lines = BufReader::new(rig.stdout.take().unwrap()).lines().map_while(Result::ok);
     assert!(lines.next().is_some_and(|line| line.contains("12 endpoints")));
-    let end = Instant::now() + PATIENCE;
-    let children = loop {
-        let of = format!("/proc/{0}/task/{0}/children", rig.id());
-        let children = std::fs::read_to_string(of).unwrap();
-        let children: Vec<String> = children.split_whitespace().map(str::to_owned).collect();
-        // Two control machines, four processes of hollow sidecars, two real ones.
-        if children.len() == 8 {
-            break children;
-        }
-        assert!(Instant::now() < end, "{children:?}");
-        std::thread::sleep(Duration::from_millis(5));
-    };
+    // Two control machines, four processes of hollow sidecars, two real ones.
+    let children = children(&rig, 8, PATIENCE);
     rig.kill().unwrap();
     rig.wait().unwrap();
-    let end = Instant::now() + PATIENCE;
-    while children.iter().any(|id| lives(id)) {
-        assert!(Instant::now() < end, "{children:?}");
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    all_end(&children, PATIENCE);
 }
 
 /// A control machine, told what the rig would tell it.
--- a/crates/lab/tests/trial.rs
+++ b/crates/lab/tests/trial.rs
@@ -1,26 +1,15 @@
 //! Trials by processes: several processes of the program, faults between and in them, judged from outside.
 
-use std::io::{BufRead, BufReader};
-use std::path::PathBuf;
-use std::process::{Command, Output, Stdio};
-use std::time::{Duration, Instant};
-
-/// The program under test, built beside the lab.
-fn program() -> PathBuf {
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_dunlincleat-lab")).with_file_name("dunlincleat");
-    let build = ["build", "--locked", "-p", "dunlincleat-sidecar"];
-    let built = Command::new(env!("CARGO")).args(build).status().unwrap();
-    assert!(built.success() && program.is_file(), "{}", program.display());
-    program
-}
+mod common;
 
-fn lab() -> Command {
-    Command::new(env!("CARGO_BIN_EXE_dunlincleat-lab"))
-}
+use common::{all_end, lab, program};
+use std::io::{BufRead, BufReader};
+use std::process::{Output, Stdio};
+use std::time::Duration;
 
 /// Plays a trial; one that is void, as the machine was too busy, says nothing and is played again, twice at the most.
 fn played(arguments: &[&str]) -> Output {
-    program();
+    program("dunlincleat");
     let play = || lab().args(arguments).output().unwrap();
     let mut out = play();
     for _ in 0..2 {
@@ -44,7 +33,7 @@
 /// A rig that was killed left its sidecar running.
 #[test]
 fn nothing_outlives_a_rig_that_is_killed() {
-    program();
+    program("dunlincleat");
     let mut rig = lab()
         .args(["trial", "requests", "--instances", "3", "--lasts", "60"])
         .stdout(Stdio::piped())
@@ -54,23 +43,11 @@
     let mut seconds = lines.map_while(Result::ok).skip_while(|line| !line.contains("asked served"));
     assert!(seconds.nth(1).is_some(), "it plays");
     let children = std::fs::read_to_string(format!("/proc/{0}/task/{0}/children", rig.id())).unwrap();
-    let children: Vec<&str> = children.split_whitespace().collect();
+    let children: Vec<String> = children.split_whitespace().map(str::to_owned).collect();
     assert_eq!(children.len(), 3 + 4 + 1, "instances, servers, the list");
     rig.kill().unwrap();
     rig.wait().unwrap();
-    let lives = |id: &&str| {
-        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-        stat.rsplit(')').next().is_some_and(|rest| !rest.is_empty() && !rest.trim().starts_with('Z'))
-    };
-    let end = Instant::now() + Duration::from_secs(20);
-    while children.iter().any(lives) {
-        assert!(
-            Instant::now() < end,
-            "{:?} still run",
-            children.iter().filter(|id| lives(id)).collect::<Vec<_>>()
-        );
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    all_end(&children, Duration::from_secs(20));
 }
 
 /// A duty that one of five alone may hold, while holders and voters die with their memory, stand still across the lease and are
