Idle connections kept other servers out of reach: at the bound the oldest makes room

Callers saw requests refused while nothing was in hand, once idle connections had taken all places among the connections to servers.

Cause: Dial::call (crates/http/src/line.rs) gave up where no place was free, and idle connections to servers that stay gave theirs back only at four fifths of the servers' own time.

The mend: Means::place closes the connection idle for longest, to whichever server, and waits at most 100 ms for its place, which awc gives back in a task of its own. It holds as a place that is not idle is in use: told that there is none is only who finds all in use.

The idle connections move out of peer.rs into idle.rs, owned by each server's actor and known to all only for this.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod frame;
 pub mod front;
+mod idle;
 mod line;
 pub mod list;
 pub mod message;
--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -13,7 +13,7 @@
 use dunlincleat_status::{Metrics, Seldom, seldom};
 use futures_util::future::LocalBoxFuture;
 use std::cell::{Cell, RefCell};
-use std::future::{Future, poll_fn};
+use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -24,10 +24,12 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::{Instant, Sleep, sleep_until, timeout};
 
 /// How long a server may stand still in the middle of an answer that is being passed on.
 const STREAM_STALL: Duration = Duration::from_secs(10);
+/// How long an idle connection that is closed to make room may take to give its place back.
+const MAKES_ROOM: Duration = Duration::from_millis(100);
 
 /// Why nothing was sent, for a reason that lies here and not with the server.
 #[derive(Debug)]
@@ -129,7 +131,7 @@
     }
 
     /// Whether an idle connection has ended, or is of no use any more: nothing is due to come on it.
-    fn ended(&self, cx: &mut Context<'_>) -> bool {
+    pub fn ended(&self, cx: &mut Context<'_>) -> bool {
         let Some(stream) = self.stream.borrow().upgrade() else { return true };
         while stream.poll_read_ready(cx).is_ready() {
             match stream.try_read(&mut [0]) {
@@ -155,16 +157,6 @@
     }
 }
 
-/// Waits until one of the idle connections has ended, and tells its place. A server that closes one gets its
-/// end at once, and nothing is written to it any more.
-pub async fn ended_idle(idle: &[Line]) -> usize {
-    poll_fn(|cx| {
-        let ended = idle.iter().position(|line| line.wire.ended(cx));
-        ended.map_or(Poll::Pending, Poll::Ready)
-    })
-    .await
-}
-
 /// What connections to servers are made of.
 #[derive(Clone)]
 pub struct Means {
@@ -172,12 +164,32 @@
     pub own: Rc<Own>,
     /// Connections to servers that may still be opened.
     pub sockets: Arc<Semaphore>,
+    /// Closes the connection that has been idle for longest, to whichever server: whether there was one.
+    pub close_idle: Rc<dyn Fn() -> bool>,
     /// The line of the log for attempts that found no place among those.
     pub full: Rc<Seldom>,
     /// Counts attempts that were written whole.
     pub metrics: Arc<Metrics>,
 }
 
+impl Means {
+    /// A place among the connections to servers. At the bound an idle connection gives way: kept until they were too
+    /// old, those to the servers asked first kept all others out of reach.
+    async fn place(&self) -> Option<OwnedSemaphorePermit> {
+        if self.full() && !(self.close_idle)() {
+            return None;
+        }
+        // The client of a connection that was closed lets go of it in a task of its own.
+        timeout(MAKES_ROOM, self.sockets.clone().acquire_owned()).await.ok()?.ok()
+    }
+
+    /// Every place is taken. With another process beside this one a part of the places is its.
+    fn full(&self) -> bool {
+        let open = self.own.server_connections.saturating_sub(self.sockets.available_permits());
+        open >= self.own.servers_now()
+    }
+}
+
 /// A connection to the server, or one to be opened.
 pub struct Line {
     /// Its awc client.
@@ -233,12 +245,7 @@
         Box::pin(async move {
             let uri = info.request().clone();
             let endpoint = authority(&uri).ok_or(ConnectError::Unresolved)?;
-            let (own, sockets) = (&dial.means.own, &dial.means.sockets);
-            // With another process beside this one a part of the places is its.
-            let open = own.server_connections.saturating_sub(sockets.available_permits());
-            let permit =
-                if open < own.servers_now() { sockets.clone().try_acquire_owned().ok() } else { None };
-            let permit = permit.ok_or_else(|| {
+            let permit = dial.means.place().await.ok_or_else(|| {
                 let line = format!("no connection to {endpoint}: the bound on server connections is reached");
                 seldom!(dial.means.full, warn, line);
                 ConnectError::Io(io::Error::other(Unsent("the bound on server connections is reached")))
--- a/crates/http/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -4,7 +4,8 @@
 //! are idle, since when, and that an attempt given up takes its connection with it. A connection that awc's
 //! own pool kept would stand idle until the next request, however old.
 
-use crate::line::{Gate, Line, Means, Unsent, Wire, ended_idle};
+use crate::idle::{AllIdle, Idle};
+use crate::line::{Gate, Line, Means, Unsent, Wire};
 use crate::message::{Body, Broken, Coming, Part, Parts, Reply, Request, Rest, probe_uri, read_body};
 use crate::own::Own;
 use crate::written::Written;
@@ -78,6 +79,8 @@
     fields: Rc<[String]>,
     /// Servers answer `/load` with a report.
     load_probes: bool,
+    /// The idle connections to all servers.
+    idle: AllIdle,
     /// The line of the log for answers that are of no use.
     spoilt: Rc<Seldom>,
     engine: Handle,
@@ -99,8 +102,11 @@
         metrics: Arc<Metrics>,
     ) -> Peers {
         let sockets = Arc::new(Semaphore::new(own.server_connections));
-        let means = Means { own, sockets, full: Rc::default(), metrics };
-        let common = Common { means, fields, load_probes, spoilt: Rc::default(), engine };
+        let idle = AllIdle::default();
+        let all = idle.clone();
+        let close_idle = Rc::new(move || all.close_oldest());
+        let means = Means { own, sockets, close_idle, full: Rc::default(), metrics };
+        let common = Common { means, fields, load_probes, idle, spoilt: Rc::default(), engine };
         Peers { common, mailboxes: FxHashMap::default() }
     }
 
@@ -166,10 +172,10 @@
         server,
         endpoint,
         boot_ms,
-        common,
         gate,
         heard: Instant::now(),
-        idle: Vec::new(),
+        idle: common.idle.server(),
+        common,
         out: FuturesUnordered::new(),
         aborts: FxHashMap::default(),
     };
@@ -177,9 +183,6 @@
     handle
 }
 
-/// How long a connection rests after an answer before it is used again. A second answer that comes some milliseconds
-/// late, behind the next request, can't be told from that one's, and nothing warns of the first one.
-const REST: Duration = Duration::from_millis(10);
 /// Errors of the system that say that this machine has no more to give.
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
@@ -208,8 +211,7 @@
     gate: Rc<Gate>,
     /// When it last sent anything.
     heard: Instant,
-    /// Idle connections, the last used at the end.
-    idle: Vec<Line>,
+    idle: Idle,
     out: FuturesUnordered<Job>,
     /// What ends an attempt, and whether it has begun.
     aborts: FxHashMap<(RequestId, Attempt), (AbortHandle, Rc<Wire>)>,
@@ -218,7 +220,7 @@
 impl Peer {
     async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<Msg>) {
         loop {
-            let oldest = self.idle.first().map(|line| line.since + self.common.means.own.idle);
+            let oldest = self.idle.oldest().map(|since| since + self.common.means.own.idle);
             tokio::select! {
                 biased;
                 msg = mailbox.recv() => match msg {
@@ -226,12 +228,9 @@
                     None => return,
                 },
                 Some(done) = self.out.next(), if !self.out.is_empty() => self.done(done),
-                at = ended_idle(&self.idle), if !self.idle.is_empty() => {
-                    self.idle.remove(at);
-                }
+                () = self.idle.ended(), if !self.idle.is_empty() => {}
                 () = sleep_until(oldest.unwrap_or_else(Instant::now)), if oldest.is_some() => {
-                    let (now, idle) = (Instant::now(), self.common.means.own.idle);
-                    self.idle.retain(|line| line.since + idle > now);
+                    self.idle.close_older(self.common.means.own.idle);
                 }
             }
         }
@@ -315,12 +314,11 @@
     }
 
     fn done(&mut self, done: Done) {
-        if let Some(mut line) = done.line {
+        if let Some(line) = done.line {
             // One that was in use while its server moved or started anew leads to what was there before.
             let here = line.to == (self.endpoint, self.boot_ms);
             if line.wire.fit() && here && !self.gate.closed.get() {
-                line.since = Instant::now();
-                self.idle.push(line);
+                self.idle.keep(line);
             }
         }
         match done.ended.status {
@@ -341,19 +339,10 @@
         }
     }
 
-    /// The idle connection used last of those that have rested, or a new one, which is opened when it is first sent on.
-    fn line(&mut self) -> Line {
-        loop {
-            let rested = self.idle.partition_point(|line| line.since.elapsed() >= REST);
-            if rested == 0 {
-                let to = (self.endpoint, self.boot_ms);
-                return Line::new(&self.common.means, self.gate.clone(), to);
-            }
-            let line = self.idle.remove(rested - 1);
-            if line.wire.fit() {
-                return line;
-            }
-        }
+    /// An idle connection, or a new one, which is opened when it is first sent on.
+    fn line(&self) -> Line {
+        let to = (self.endpoint, self.boot_ms);
+        self.idle.take().unwrap_or_else(|| Line::new(&self.common.means, self.gate.clone(), to))
     }
 }
 
--- a/crates/sidecar/tests/descriptors.rs
+++ b/crates/sidecar/tests/descriptors.rs
@@ -214,3 +214,20 @@
         all_keep_their_places(outage, 1024, Some(SOCKETS));
     }
 }
+
+/// Idle connections to servers that stay held every place at the bound until they were too old, four fifths of the servers'
+/// own time: the log said that the bound was reached while nothing was in hand, and other servers were never asked.
+#[test]
+fn idle_connections_at_the_bound_make_room_for_other_servers() {
+    let servers = ["one", "two", "three", "four"].map(|name| Server::start(move |_, _| ok(name)));
+    let uids = ["s1", "s2", "s3", "s4"];
+    let known = servers.iter().zip(uids).map(|(server, uid)| entry(uid, server.address, "up")).collect();
+    let sidecar = Setup::new(known).set("/sidecar/server_connections", json!(2)).start();
+    for n in 0..100 {
+        assert_eq!(sidecar.ask(&read(&format!("r{n}"))).status(), 200, "request {n}");
+    }
+    let asked: Vec<usize> = servers.iter().map(Server::count).collect();
+    assert!(asked.iter().all(|asked| *asked > 0), "requests by server: {asked:?}");
+    let refused = sidecar.log.all().iter().any(|line| line.contains("bound on server connections"));
+    assert!(!refused, "nothing was in hand, and no place was found");
+}
