A server that stopped reading a long body held its client: given up after 5 s

Cause: peer::send counts the time of a body that still comes from its last byte, which could not be written; a client that stands still in its body has a bound (UPLOAD_STALL), a server had none.

The mend: ServerIo::poll_write ends an attempt whose server has taken nothing for UNREAD_STALL, as long as a client may stand still. It holds for every write, as all of them pass there; the last byte was not written, so nothing ran and the client is answered 503. An honest slow server takes a part within that time and starts it anew.

--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -24,10 +24,12 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{Instant, Sleep, sleep_until, timeout};
+use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout};
 
 /// How long a server may stand still in the middle of an answer that is being passed on.
 const STREAM_STALL: Duration = Duration::from_secs(10);
+/// How long a server may read nothing of a request that is being written to it.
+const UNREAD_STALL: Duration = Duration::from_secs(5);
 /// How long an idle connection that is closed to make room may take to give its place back.
 const MAKES_ROOM: Duration = Duration::from_millis(100);
 
@@ -260,6 +262,7 @@
                 frame,
                 waits: None,
                 timer: None,
+                unread: None,
                 stall: dial.means.own.answer_stall,
                 gate: dial.gate,
                 wire: dial.wire,
@@ -278,6 +281,8 @@
     /// Since when the next byte of an answer that began is waited for, and the timer for it.
     waits: Option<Instant>,
     timer: Option<Pin<Box<Sleep>>>,
+    /// The end of the time within which the server has to read more of the request.
+    unread: Option<Pin<Box<Sleep>>>,
     stall: Duration,
     gate: Rc<Gate>,
     wire: Rc<Wire>,
@@ -312,6 +317,14 @@
         ready!(timer.as_mut().poll(cx));
         self.spoil(Spoilt("it began and does not go on"))
     }
+
+    /// A server that reads no more of a body, while its client still sends: no deadline runs before the last byte, and
+    /// the attempt, its connection and its client were held for as long as both stayed.
+    fn unread(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let timer = self.unread.get_or_insert_with(|| Box::pin(sleep(UNREAD_STALL)));
+        ready!(timer.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 impl AsyncRead for ServerIo {
@@ -364,11 +377,15 @@
             return Poll::Ready(Err(io::Error::other(Unsent("the server leaves"))));
         }
         loop {
-            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.poll_write_ready(cx) {
+                Poll::Ready(ready) => ready?,
+                Poll::Pending => return self.unread(cx),
+            }
             match self.stream.try_write(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(n) => {
+                    self.unread = None;
                     self.wire.sent.set(self.wire.sent.get() + n);
                     if let Some(mut written) = self.wire.written.get() {
                         if written.more(&buf[..n], self.wire.last.get()) {
--- a/crates/sidecar/tests/bodies.rs
+++ b/crates/sidecar/tests/bodies.rs
@@ -225,3 +225,29 @@
     writer.join().unwrap();
     assert_eq!(sees.try_iter().count(), 1, "attempts");
 }
+
+/// A server that reads a part of a long body and then no more, with its client still there: no deadline runs before the last
+/// byte, and the attempt, its connection and its client were held for as long as both stayed.
+#[test]
+fn a_server_that_stops_reading_a_long_body_does_not_hold_its_client() {
+    let (let_go, stays) = channel::<()>();
+    let stays = std::sync::Mutex::new(stays);
+    let sidecar = server(move |mut stream| {
+        head(&mut stream);
+        let mut part = [0; 1000];
+        let _ = stream.read(&mut part);
+        let _ = stays.lock().unwrap().recv_timeout(2 * PATIENCE);
+    })
+    .start();
+    let mut client = sidecar.connect();
+    client.send(&format!(
+        "POST /once HTTP/1.1\r\nHost: x\r\nX-Request-ID: r1\r\nContent-Length: {LONG}\r\n\r\n"
+    ));
+    let mut stream = client.stream.try_clone().unwrap();
+    let writer = thread::spawn(move || stream.write_all(&vec![b'x'; LONG]).is_ok());
+    // Its last byte was never written: it ran nowhere.
+    assert_eq!(client.answer().status(), 503);
+    drop(client);
+    let _ = writer.join();
+    let_go.send(()).unwrap();
+}
