--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -14,6 +14,7 @@
 mod results;
 mod scale;
 mod slopes;
+mod soak;
 mod trial;
 
 use anyhow::{Context, Result, bail};
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -21,6 +21,8 @@
     Requests,
     /// The same, with a duty that one of them alone may hold
     Duties,
+    /// One sidecar from its start to the kill, signalled again and again; --seeds of them, one after another
+    Soak,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
@@ -49,6 +51,9 @@
     /// The seed of all that is drawn
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Of a soak: how many seeds, from 1 to 1000
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
     /// For how many seconds, from 4 to 600
     #[arg(long, default_value_t = 20)]
     lasts: u64,
@@ -128,7 +133,7 @@
 }
 
 /// One line of a time line.
-fn line(event: &Event, start: u64) -> String {
+pub fn line(event: &Event, start: u64) -> String {
     let at = event.at as f64 - start as f64;
     let what = match &event.what {
         What::Did { fault } => fault.to_string(),
@@ -187,11 +192,23 @@
     ranged("servers", wanted.servers as u64, 1, 50)?;
     ranged("lasts", wanted.lasts, 4, 600)?;
     ranged("rate", wanted.rate, 1, 500)?;
+    ranged("seeds", wanted.seeds, 1, 1000)?;
     let (lab, program) = programs("dunlincleat", "--program", wanted.program.as_deref())?;
+    let bounds =
+        Bounds { grace: 1_000_000, slack: wanted.slack_ms * 1000, goes_on: 0, late: wanted.late_ms * 1000 };
+    if wanted.name == Name::Soak {
+        return crate::soak::run(
+            &lab,
+            &program,
+            wanted.seed..wanted.seed + wanted.seeds,
+            bounds,
+            wanted.out.as_deref(),
+        );
+    }
     let names = |of: char, n: usize| -> Vec<String> { (0..n).map(|n| format!("{of}{n}")).collect() };
     let (instances, servers) = (names('n', wanted.instances), names('s', wanted.servers));
     let peers = match wanted.name {
-        Name::Requests => false,
+        Name::Requests | Name::Soak => false,
         Name::Duties => true,
     };
     let cast = Cast { instances: instances.clone(), servers: servers.clone(), peers, lease_ms: LEASE_MS };
@@ -231,12 +248,7 @@
         seed: wanted.seed,
         rate,
         aim: Duration::from_millis(300),
-        bounds: Bounds {
-            grace: 1_000_000,
-            slack: wanted.slack_ms * 1000,
-            goes_on,
-            late: wanted.late_ms * 1000,
-        },
+        bounds: Bounds { goes_on, ..bounds },
         schedule,
         out: wanted.out.clone(),
         fleet: peers.then_some(fleet),
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use std::path::PathBuf;
-use std::process::{Child, Command};
+use std::process::{Child, Command, Output};
 use std::time::{Duration, Instant};
 
 /// The program of this name, built beside the lab.
@@ -19,6 +19,19 @@
     Command::new(env!("CARGO_BIN_EXE_dunlincleat-lab"))
 }
 
+/// Plays a trial; one that is void, as the machine was too busy, says nothing and is played again, twice at the most.
+pub fn played(arguments: &[&str]) -> Output {
+    program("dunlincleat");
+    let play = || lab().args(arguments).output().unwrap();
+    let mut out = play();
+    for _ in 0..2 {
+        if out.status.code() == Some(2) && String::from_utf8_lossy(&out.stdout).contains("VOID") {
+            out = play();
+        }
+    }
+    out
+}
+
 /// The processes that a run has started, once there are so many.
 pub fn children(run: &Child, wanted: usize, within: Duration) -> Vec<String> {
     let end = Instant::now() + within;
--- /dev/null
+++ b/crates/lab/tests/soak.rs
@@ -0,0 +1,24 @@
+//! The soak: one sidecar from its start to the kill at the page's earliest, while clients go on using their open connections
+//! and signals come in series. `dunlincleat-lab trial soak --seed N --seeds M` plays more of them by hand.
+
+mod common;
+
+use common::played;
+
+/// Plays these seeds one after another; every one of them has to be kept.
+fn kept(first: u64, seeds: u64) {
+    let out = played(&["trial", "soak", "--seed", &first.to_string(), "--seeds", &seeds.to_string()]);
+    let text = String::from_utf8_lossy(&out.stdout);
+    assert_eq!(out.status.code(), Some(0), "{text}{}", String::from_utf8_lossy(&out.stderr));
+    assert_eq!(text.matches(": KEPT: ").count() as u64, seeds, "{text}");
+}
+
+/// No request is lost, nothing runs twice or after its client has left, and the process ends by itself, in order and in time:
+/// eight plans, some with a crowd of idle clients, hung and slow servers, discovery down.
+#[test]
+fn nothing_is_lost_from_the_start_to_the_kill() {
+    std::thread::scope(|scope| {
+        scope.spawn(|| kept(1, 4));
+        kept(5, 4);
+    });
+}
--- a/crates/lab/tests/trial.rs
+++ b/crates/lab/tests/trial.rs
@@ -2,24 +2,11 @@
 
 mod common;
 
-use common::{all_end, lab, program};
+use common::{all_end, lab, played, program};
 use std::io::{BufRead, BufReader};
-use std::process::{Output, Stdio};
+use std::process::Stdio;
 use std::time::Duration;
 
-/// Plays a trial; one that is void, as the machine was too busy, says nothing and is played again, twice at the most.
-fn played(arguments: &[&str]) -> Output {
-    program("dunlincleat");
-    let play = || lab().args(arguments).output().unwrap();
-    let mut out = play();
-    for _ in 0..2 {
-        if out.status.code() == Some(2) && String::from_utf8_lossy(&out.stdout).contains("VOID") {
-            out = play();
-        }
-    }
-    out
-}
-
 /// Requests through three sidecars of which one is killed and one told to end while a server stands still and ways are cut:
 /// the schedule is the seed's, so the same faults come each time.
 #[test]
--- a/crates/trial/src/audit.rs
+++ b/crates/trial/src/audit.rs
@@ -22,8 +22,12 @@
     FencesRise,
     /// Once nothing is wrong any more, a duty's effect is carried out again within the bound.
     GoesOn,
-    /// No process of the program ended but by the rig's will.
+    /// No process of the program ended but by the rig's will, or otherwise than in order where it was told to end.
     NoCrash,
+    /// A process that was told to end did so before the page's earliest kill.
+    EndsInTime,
+    /// Nothing of a request began once its client had left.
+    NothingAfterLeft,
 }
 
 impl Display for Property {
@@ -36,6 +40,8 @@
             Property::FencesRise => "fences rise",
             Property::GoesOn => "goes on",
             Property::NoCrash => "no crash",
+            Property::EndsInTime => "ends in time",
+            Property::NothingAfterLeft => "nothing after its client left",
         })
     }
 }
--- a/crates/trial/src/history.rs
+++ b/crates/trial/src/history.rs
@@ -120,6 +120,21 @@
         /// The duty.
         duty: String,
     },
+    /// A request crossed the close of its connection between two requests, and was never read.
+    Crossed {
+        /// The request.
+        id: String,
+    },
+    /// A client left with its request in hand.
+    Left {
+        /// The request.
+        id: String,
+    },
+    /// A process that was told to end still ran at the page's earliest kill.
+    Overdue {
+        /// The instance.
+        who: String,
+    },
     /// A timer of the rig ran late.
     Late {
         /// By so many microseconds.
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod relay;
 pub mod rig;
 pub mod schedule;
+pub mod soak;
 pub mod stands;
--- a/crates/trial/src/rig.rs
+++ b/crates/trial/src/rig.rs
@@ -149,6 +149,10 @@
         self.orders.write_all(line.as_bytes()).await.context("a stand-in takes no orders")
     }
 
+    pub(crate) fn signal(&self, signal: Signal) {
+        self.process.signal(signal);
+    }
+
     /// Lets it end, and reads what it saw to the last line.
     pub(crate) async fn end(self) -> Result<()> {
         self.process.signal(Signal::CONT);
@@ -234,7 +238,14 @@
                     self.down(format!("does not start: {error:#}"));
                 }
             }
-            Fault::Term { .. } => self.tell_to_end(fault),
+            Fault::Term { .. } => self.tell_to_end(fault, Signal::TERM),
+            Fault::Interrupt { .. } => self.tell_to_end(fault, Signal::INT),
+            Fault::Reload { .. } => {
+                if let Some(process) = &self.process {
+                    process.signal(Signal::HUP);
+                }
+                self.did(fault);
+            }
             Fault::Kill { .. } | Fault::Stop { .. } | Fault::Go { .. } => {
                 let signal = match &fault {
                     Fault::Kill { .. } => Signal::KILL,
@@ -262,11 +273,11 @@
     }
 
     /// Told to end; its application goes on for a while.
-    fn tell_to_end(&mut self, fault: Fault) {
+    fn tell_to_end(&mut self, fault: Fault, signal: Signal) {
         self.did(fault);
         self.told = true;
         if let Some(process) = &self.process {
-            process.signal(Signal::TERM);
+            process.signal(signal);
         }
         let (at, was) = (self.at.clone(), self.at.get());
         actix_rt::spawn(async move {
@@ -283,7 +294,7 @@
             return;
         }
         if !told {
-            self.tell_to_end(Fault::Term { who: self.name.clone() });
+            self.tell_to_end(Fault::Term { who: self.name.clone() }, Signal::TERM);
         }
         let ended = match timeout(KILLS_AFTER, exited(&mut self.process)).await {
             Ok(ended) => ended,
@@ -597,6 +608,8 @@
         match fault {
             Fault::Kill { who }
             | Fault::Term { who }
+            | Fault::Interrupt { who }
+            | Fault::Reload { who }
             | Fault::Start { who, .. }
             | Fault::Stop { who }
             | Fault::Go { who } => {
--- a/crates/trial/src/schedule.rs
+++ b/crates/trial/src/schedule.rs
@@ -56,6 +56,16 @@
         /// The instance.
         who: String,
     },
+    /// SIGINT.
+    Interrupt {
+        /// The instance.
+        who: String,
+    },
+    /// SIGHUP.
+    Reload {
+        /// The instance.
+        who: String,
+    },
     /// It is started anew.
     Start {
         /// The instance.
@@ -110,6 +120,8 @@
         match self {
             Fault::Kill { who }
             | Fault::Term { who }
+            | Fault::Interrupt { who }
+            | Fault::Reload { who }
             | Fault::Start { who, .. }
             | Fault::Stop { who }
             | Fault::Go { who } => vec![who],
@@ -124,6 +136,8 @@
         match self {
             Fault::Kill { who } => write!(f, "{who} is killed"),
             Fault::Term { who } => write!(f, "{who} is told to end"),
+            Fault::Interrupt { who } => write!(f, "{who} is interrupted"),
+            Fault::Reload { who } => write!(f, "{who} is told to reload"),
             Fault::Start { who, disk: Disk::Kept } => write!(f, "{who} starts"),
             Fault::Start { who, disk: Disk::Lost } => write!(f, "{who} starts without its folder"),
             Fault::Stop { who } => write!(f, "{who} stands still"),
--- a/crates/trial/src/schedule/tests.rs
+++ b/crates/trial/src/schedule/tests.rs
@@ -19,10 +19,15 @@
         for step in &schedule.steps {
             assert!(step.at_ms <= 15_000);
             let (key, well) = match &step.fault {
-                Fault::Kill { who } | Fault::Term { who } | Fault::Stop { who } => (who.clone(), false),
+                Fault::Kill { who }
+                | Fault::Term { who }
+                | Fault::Interrupt { who }
+                | Fault::Stop { who } => (who.clone(), false),
                 Fault::Start { who, .. } | Fault::Go { who } => (who.clone(), true),
                 Fault::Way { from, to, ill } => (format!("{from}>{to}"), *ill == Ill::default()),
-                Fault::Reset { .. } | Fault::Drain { .. } | Fault::Gone { .. } => continue,
+                Fault::Reload { .. } | Fault::Reset { .. } | Fault::Drain { .. } | Fault::Gone { .. } => {
+                    continue;
+                }
             };
             kinds.insert(step.fault.to_string().replace(|c: char| c.is_ascii_digit(), ""));
             assert_ne!(state.insert(key.clone(), well).unwrap_or(true), well, "seed {seed}: {key} twice");
--- /dev/null
+++ b/crates/trial/src/soak/audit/tests.rs
@@ -0,0 +1,83 @@
+//! Tests of the soak's auditor.
+
+use super::*;
+
+const BOUNDS: Bounds = Bounds { grace: 0, slack: 250_000, goes_on: 0, late: 100_000 };
+
+fn asked(id: &str, once: bool) -> Event {
+    Event { at: 0, what: What::Asked { by: "n0".into(), id: id.into(), once, wait: 300_000 } }
+}
+
+fn answered(at: u64, answer: Answer) -> Event {
+    Event { at, what: What::Answered { id: "a".into(), answer } }
+}
+
+fn began(at: u64) -> Event {
+    Event { at, what: What::Began { server: "s0".into(), id: "a".into(), body: "s0 a".into() } }
+}
+
+fn down(how: &str) -> Event {
+    Event { at: 900_000, what: What::Down { who: "n0".into(), how: how.into(), told: true } }
+}
+
+/// The properties that a history breaks; the process ends in order where it does not say otherwise.
+fn broken(history: &[Event]) -> Vec<Property> {
+    let mut history = history.to_vec();
+    if !history.iter().any(|event| matches!(event.what, What::Down { .. })) {
+        history.push(down(IN_ORDER));
+    }
+    match judge(&history, BOUNDS).0 {
+        Verdict::Kept => Vec::new(),
+        Verdict::Broken(broken) => broken.into_iter().map(|broken| broken.property).collect(),
+        Verdict::Void(late) => panic!("void: {late}"),
+    }
+}
+
+#[test]
+fn one_whole_answer_in_time_is_due() {
+    let served = || answered(100, Answer::Served("s0 a".into()));
+    assert_eq!(broken(&[asked("a", false), began(50), served()]), []);
+    assert_eq!(broken(&[asked("a", false)]), [Property::OneAnswer]);
+    assert_eq!(broken(&[asked("a", false), served()]), [Property::OneAnswer], "no server made it");
+    assert_eq!(broken(&[asked("a", false), began(50), served(), served()]), [Property::OneAnswer]);
+    assert_eq!(broken(&[asked("a", false), answered(550_001, Answer::Failed)]), [Property::OneAnswer]);
+    let lost = Answer::Broken("it ended after the request was read".into());
+    assert_eq!(broken(&[asked("a", false), answered(100, lost)]), [Property::OneAnswer]);
+}
+
+#[test]
+fn a_request_crosses_a_close_only_where_it_began_nowhere() {
+    let crossed = Event { at: 100, what: What::Crossed { id: "a".into() } };
+    assert_eq!(broken(&[asked("a", false), crossed.clone()]), []);
+    assert_eq!(broken(&[asked("a", false), began(50), crossed]), [Property::OneAnswer]);
+}
+
+#[test]
+fn no_effect_comes_twice_or_is_denied() {
+    assert_eq!(
+        broken(&[asked("a", true), began(50), began(60), answered(90, Answer::Failed)]),
+        [Property::OnceOnly]
+    );
+    assert_eq!(broken(&[asked("a", true), began(50), answered(90, Answer::Refused)]), [Property::OnceOnly]);
+}
+
+#[test]
+fn nothing_begins_after_its_client_has_left() {
+    let left = Event { at: 1000, what: What::Left { id: "a".into() } };
+    assert_eq!(broken(&[asked("a", false), left.clone(), began(101_000)]), []);
+    assert_eq!(broken(&[asked("a", false), left.clone(), began(101_001)]), [Property::NothingAfterLeft]);
+    // A server that stood still reads at the end what had come to it before.
+    let stop = |who: &str| Event { at: 0, what: What::Did { fault: Fault::Stop { who: who.into() } } };
+    assert_eq!(broken(&[stop("s0"), asked("a", false), left.clone(), began(800_000)]), []);
+    let other = [stop("s1"), asked("a", false), left, began(800_000)];
+    assert_eq!(broken(&other), [Property::NothingAfterLeft]);
+}
+
+#[test]
+fn the_process_ends_by_itself_in_time_and_in_order() {
+    assert_eq!(broken(&[down("ended with exit status: 1")]), [Property::NoCrash]);
+    let overdue = Event { at: 800_000, what: What::Overdue { who: "n0".into() } };
+    assert_eq!(broken(&[overdue]), [Property::EndsInTime]);
+    let (verdict, _) = judge(&[], BOUNDS);
+    assert!(matches!(verdict, Verdict::Broken(broken) if broken[0].property == Property::EndsInTime));
+}
