--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -43,7 +43,7 @@
         bail!("--rate: {} is not from 1 to 2000 requests a second", wanted.rate);
     }
     let (lab, program) =
-        crate::trial::programs("dunlincleat-sidecar", "--sidecar", wanted.sidecar.as_deref())?;
+        crate::runs::programs("dunlincleat-sidecar", "--sidecar", wanted.sidecar.as_deref())?;
     // What goes wrong: a stall for a fifth of the time, then a drain, then that server is gone.
     let step = |at: u64, fault| Step { at_ms: at * 1000, fault };
     let (stall, drain) = (wanted.lasts * 3 / 10, wanted.lasts * 6 / 10);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,6 +12,7 @@
 mod plan;
 mod real;
 mod results;
+mod runs;
 mod scale;
 mod slopes;
 mod soak;
--- a/crates/lab/src/real.rs
+++ b/crates/lab/src/real.rs
@@ -1,7 +1,7 @@
 //! What a sidecar adds to a call, by the servers that it knows: real sidecars beside stand-in servers, each call paired with
 //! one the direct way in the same run. Also the result file, that pages are written from.
 
-use crate::trial::{or_stopped, programs, ranged};
+use crate::runs::{or_stopped, programs, ranged};
 use anyhow::{Context, Result, bail};
 use clap::Args;
 use dunlincleat_trial::audit::{Bounds, Verdict};
--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -6,7 +6,7 @@
 pub mod play;
 pub mod result;
 
-use crate::trial::{programs, told_to_end};
+use crate::runs::{programs, told_to_end};
 use anyhow::{Context, Result, anyhow, bail};
 use clap::Args;
 use fleet::Figures;
--- a/crates/lab/src/slopes/mod.rs
+++ b/crates/lab/src/slopes/mod.rs
@@ -403,7 +403,7 @@
     let groups = wanted_groups(&wanted.only)?;
     let rounds = wanted.rounds as usize;
     let program = match groups.iter().any(|group| group.program) {
-        true => crate::trial::programs("dunlincleat-sidecar", "--program", wanted.program.as_deref())?.1,
+        true => crate::runs::programs("dunlincleat-sidecar", "--program", wanted.program.as_deref())?.1,
         false => PathBuf::new(),
     };
     let (effort, many) = if wanted.small { (1000.0, 96) } else { (50_000.0, 3100) };
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -22,7 +22,7 @@
     for seed in seeds {
         let log = out.map(|out| out.join(format!("soak-{seed}.log")));
         let soak = Soak { lab: lab.to_owned(), program: program.to_owned(), seed, bounds, log };
-        let Some(soaked) = crate::trial::or_stopped(soak.play())? else { return Ok(ExitCode::from(130)) };
+        let Some(soaked) = crate::runs::or_stopped(soak.play())? else { return Ok(ExitCode::from(130)) };
         tell(&soaked, seed);
         match &soaked.verdict {
             Verdict::Kept => {}
@@ -31,7 +31,7 @@
         }
         if let Some(out) = out {
             let lines: Vec<String> =
-                soaked.history.iter().map(|event| crate::trial::line(event, soaked.start)).collect();
+                soaked.history.iter().map(|event| crate::runs::line(event, soaked.start)).collect();
             std::fs::write(out.join(format!("soak-{seed}.txt")), lines.join("\n") + "\n")?;
         }
     }
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -1,18 +1,18 @@
 //! Trials from the command line: many processes of the program under a schedule of faults, and the auditor's verdict.
 
+use crate::runs::{line, or_stopped, programs, ranged};
 use anyhow::{Context, Result, bail};
 use clap::{Args, ValueEnum};
 use dunlincleat_trial::audit::{Bounds, Verdict};
 use dunlincleat_trial::figures::figures;
-use dunlincleat_trial::history::{Event, What};
+use dunlincleat_trial::history::Event;
 use dunlincleat_trial::load::Rate;
 use dunlincleat_trial::rig::{Fleet, Look, Outcome, Trial, play};
 use dunlincleat_trial::schedule::{Cast, Schedule};
 use serde_json::json;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Which trial.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -86,64 +86,11 @@
     program: Option<PathBuf>,
 }
 
-/// This program, and the one under test.
-pub fn programs(name: &str, flag: &str, told: Option<&Path>) -> Result<(PathBuf, PathBuf)> {
-    let lab = std::env::current_exe()?;
-    let program = told.map_or_else(|| lab.with_file_name(name), Path::to_path_buf);
-    if !program.is_file() {
-        bail!(
-            "{flag}: {} is no program; `cargo build --release` builds it beside this one",
-            program.display()
-        );
-    }
-    Ok((lab, program))
-}
-
 /// Plays a trial; none where it was ended by hand, and all that it started with it.
 pub fn play_here(trial: &Trial, look: impl FnMut(&Look<'_>)) -> Result<Option<Outcome>> {
     or_stopped(play(trial, look))
 }
 
-/// Works to the end; none where that was ended by hand, and all that it started with it.
-pub fn or_stopped<T>(work: impl Future<Output = Result<T>>) -> Result<Option<T>> {
-    actix_rt::System::new().block_on(async move {
-        tokio::select! {
-            done = work => done.map(Some),
-            stopped = told_to_end() => {
-                stopped.context("signals")?;
-                crate::say("stopped by hand");
-                Ok(None)
-            }
-        }
-    })
-}
-
-/// The first of the signals that end a program: so that what was started is ended in order.
-pub async fn told_to_end() -> std::io::Result<()> {
-    let mut end = [SignalKind::interrupt(), SignalKind::terminate(), SignalKind::hangup()].map(signal);
-    let [Ok(interrupt), Ok(terminate), Ok(hangup)] = &mut end else {
-        return Err(std::io::Error::other("they can't be waited for"));
-    };
-    tokio::select! {
-        _ = interrupt.recv() => {}
-        _ = terminate.recv() => {}
-        _ = hangup.recv() => {}
-    }
-    Ok(())
-}
-
-/// One line of a time line.
-pub fn line(event: &Event, start: u64) -> String {
-    let at = event.at as f64 - start as f64;
-    let what = match &event.what {
-        What::Did { fault } => fault.to_string(),
-        What::Up { who, process } => format!("{who} serves, process {process}"),
-        What::Down { who, how, told } => format!("{who} {how}{}", if *told { "" } else { ", by itself" }),
-        other => serde_json::to_string(other).unwrap_or_default(),
-    };
-    format!("{:8.3} s  {what}", at / 1e6)
-}
-
 /// Says what came of it: 0 kept, 1 broken, 2 void.
 pub fn finish(outcome: &Outcome, seed: u64) -> ExitCode {
     match &outcome.verdict {
@@ -178,14 +125,6 @@
     }
 }
 
-/// Proves that a flag's value is within its range.
-pub fn ranged(flag: &str, value: u64, least: u64, most: u64) -> Result<()> {
-    if !(least..=most).contains(&value) {
-        bail!("--{flag}: {value} is not from {least} to {most}");
-    }
-    Ok(())
-}
-
 /// Runs it: 0 where every property held, 1 where one was broken, 2 where nothing can be said.
 pub fn run(wanted: Wanted) -> Result<ExitCode> {
     ranged("instances", wanted.instances as u64, 1, 50)?;
