Soak: its plan, the start of an instance and the judged answer stand once each

Found on the last reading: the start of an instance stood in the soak and in callers.rs, what a request may be answered in two auditors, the plan told times and faults as tuples where the schedule has a step, and mod.rs did four jobs. Instance::new and serve, Answers::judge and plan.rs now; the draws and what is judged are the same. New tests: a void run is told from a kept and from a broken one, and a soak that is killed leaves nothing running.

--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -3,7 +3,9 @@
 
 mod common;
 
-use common::played;
+use common::{all_end, children, lab, played, program};
+use std::process::Stdio;
+use std::time::Duration;
 
 /// Plays these seeds one after another; every one of them has to be kept.
 fn kept(first: u64, seeds: u64) {
@@ -22,3 +24,15 @@
         kept(5, 4);
     });
 }
+
+/// A rig that is killed leaves nothing running: the sidecar, four servers, of which some stand still, and the list.
+#[test]
+fn nothing_outlives_a_soak_that_is_killed() {
+    program("dunlincleat");
+    // A seed with hung servers.
+    let mut rig = lab().args(["trial", "soak", "--seed", "3"]).stdout(Stdio::null()).spawn().unwrap();
+    let started = children(&rig, 1 + 4 + 1, Duration::from_secs(20));
+    rig.kill().unwrap();
+    rig.wait().unwrap();
+    all_end(&started, Duration::from_secs(20));
+}
--- a/crates/trial/src/audit.rs
+++ b/crates/trial/src/audit.rs
@@ -289,25 +289,52 @@
         match self.answers.as_slice() {
             [] if excused => {}
             [] => add(Property::OneAnswer, limit, format!("{of} got none")),
-            [(at, answer)] => {
-                if *at > limit && !excused {
-                    let late = (at - limit) / 1000;
-                    add(Property::OneAnswer, *at, format!("{of} got it {late} ms after its time"));
-                }
-                match answer {
-                    Answer::Served(body) if !self.began.iter().any(|(.., made)| made == body) => {
-                        add(Property::OneAnswer, *at, format!("{of} got '{body}', which no server made"));
-                    }
-                    Answer::Refused if self.once && !self.began.is_empty() => {
-                        add(Property::OnceOnly, *at, format!("{of} was refused after it ran"));
-                    }
-                    Answer::Broken(why) if !excused => {
-                        add(Property::OneAnswer, *at, format!("{of} got none that is whole: {why}"));
-                    }
-                    Answer::Served(_) | Answer::Refused | Answer::Failed | Answer::Broken(_) => {}
-                }
+            answers => {
+                let bodies = self.began.iter().map(|(.., body)| *body).collect();
+                Answers { of: &of, answers, bodies, once: self.once, limit, excused }.judge(add);
+            }
+        }
+    }
+}
+
+/// What a request was answered, one time or more, as every trial judges it.
+pub(crate) struct Answers<'a> {
+    /// The request, as it is told.
+    pub(crate) of: &'a str,
+    /// When it was answered, and how.
+    pub(crate) answers: &'a [(u64, &'a Answer)],
+    /// What servers that began it answer with.
+    pub(crate) bodies: Vec<&'a str>,
+    /// It must not run twice.
+    pub(crate) once: bool,
+    /// Until when the answer is due.
+    pub(crate) limit: u64,
+    /// Nobody could answer for it in time.
+    pub(crate) excused: bool,
+}
+
+impl Answers<'_> {
+    pub(crate) fn judge(&self, add: &mut impl FnMut(Property, u64, String)) {
+        let Answers { of, answers, bodies, once, limit, excused } = self;
+        let [(at, answer)] = answers else {
+            let last = answers.last().map_or(0, |(at, _)| *at);
+            return add(Property::OneAnswer, last, format!("{of} got {}", answers.len()));
+        };
+        if at > limit && !excused {
+            let late = (at - limit) / 1000;
+            add(Property::OneAnswer, *at, format!("{of} got it {late} ms after its time"));
+        }
+        match answer {
+            Answer::Served(body) if !bodies.contains(&body.as_str()) => {
+                add(Property::OneAnswer, *at, format!("{of} got '{body}', which no server made"));
+            }
+            Answer::Refused if *once && !bodies.is_empty() => {
+                add(Property::OnceOnly, *at, format!("{of} was refused after it ran"));
+            }
+            Answer::Broken(why) if !excused => {
+                add(Property::OneAnswer, *at, format!("{of} got none that is whole: {why}"));
             }
-            [.., (at, _)] => add(Property::OneAnswer, *at, format!("{of} got {}", self.answers.len())),
+            Answer::Served(_) | Answer::Refused | Answer::Failed | Answer::Broken(_) => {}
         }
     }
 }
--- a/crates/trial/src/callers.rs
+++ b/crates/trial/src/callers.rs
@@ -9,10 +9,9 @@
 use crate::audit::{Bounds, Verdict, judge};
 use crate::history::{Answer, What};
 use crate::load::{MOST, One, client};
-use crate::relay::Target;
-use crate::rig::{Do, History, Instance, PATIENCE, Stand, Times, config, watch_timers};
+use crate::rig::{Do, History, Instance, PATIENCE, Serving, Stand, Times, config, watch_timers};
 use crate::stands::{Listed, Order, form};
-use anyhow::{Context, Result, anyhow, bail};
+use anyhow::{Context, Result, bail};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp};
@@ -25,7 +24,6 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
-use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// The service that is called.
@@ -238,7 +236,7 @@
     }
 
     /// Starts a sidecar that knows no server but by the list, and waits until it serves.
-    async fn sidecar(&self, name: &str, list: SocketAddr, seed: u64, history: &History) -> Result<Sidecar> {
+    async fn sidecar(&self, name: &str, list: SocketAddr, seed: u64, history: &History) -> Result<Serving> {
         let folder = tempfile::tempdir()?;
         let times = Times { aim: Duration::from_millis(300), wait: self.wait, grace: self.bounds.grace };
         let mut config = config(times, name, list, &form(std::iter::empty(), true, 0), seed);
@@ -246,41 +244,14 @@
             config["sidecar"] = json!({"services": [CALLED]});
         }
         std::fs::write(folder.path().join("config.json"), config.to_string())?;
-        let at = Rc::new(Cell::new(None));
-        let instance = Instance {
-            lab: self.lab.clone(),
-            program: self.program.clone(),
-            arguments: Vec::new(),
-            name: name.to_owned(),
-            folder: folder.path().to_owned(),
-            log: None,
-            at: at.clone(),
-            history: history.clone(),
-            process: None,
-            told: false,
-            member: Target::default(),
-            plant: None,
-        };
-        let (orders, mail) = unbounded_channel();
-        let (begun, mut begins) = watch::channel(None);
-        let task = actix_rt::spawn(instance.run(mail, begun));
-        let begun = begins.wait_for(Option::is_some).await.map_err(|_| anyhow!("{name} was not started"))?;
-        if let Some(Err(error)) = &*begun {
-            bail!("{name}: {error}");
-        }
+        let folder_of = folder.path().to_owned();
+        let sidecar = Instance::new(&self.lab, &self.program, name, folder_of, history).serve().await?;
         // It has read what it was told, and a rig that is killed leaves no folder behind.
         drop(folder);
-        Ok(Sidecar { orders, at, task })
+        Ok(sidecar)
     }
 }
 
-/// A sidecar that serves.
-struct Sidecar {
-    orders: tokio::sync::mpsc::UnboundedSender<Do>,
-    at: Rc<Cell<Option<SocketAddr>>>,
-    task: actix_rt::task::JoinHandle<()>,
-}
-
 fn process(what: &What) -> Option<u32> {
     if let What::Up { process, .. } = what { Some(*process) } else { None }
 }
--- a/crates/trial/src/rig.rs
+++ b/crates/trial/src/rig.rs
@@ -186,7 +186,54 @@
     pub(crate) plant: Option<String>,
 }
 
+/// An instance that serves.
+pub(crate) struct Serving {
+    /// Where its orders go.
+    pub(crate) orders: UnboundedSender<Do>,
+    /// Where the platform sends; nowhere from some time after it was told to end.
+    pub(crate) at: Rc<Cell<Option<SocketAddr>>>,
+    /// Its actor, which ends with its process.
+    pub(crate) task: actix_rt::task::JoinHandle<()>,
+}
+
 impl Instance {
+    /// One that is not started yet, without arguments, a log or a planted fault.
+    pub(crate) fn new(
+        lab: &Path,
+        program: &Path,
+        name: &str,
+        folder: PathBuf,
+        history: &History,
+    ) -> Instance {
+        Instance {
+            lab: lab.to_owned(),
+            program: program.to_owned(),
+            arguments: Vec::new(),
+            name: name.to_owned(),
+            folder,
+            log: None,
+            at: Rc::default(),
+            history: history.clone(),
+            process: None,
+            told: false,
+            member: Target::default(),
+            plant: None,
+        }
+    }
+
+    /// Starts it, and waits until it serves.
+    pub(crate) async fn serve(self) -> Result<Serving> {
+        let (name, at) = (self.name.clone(), self.at.clone());
+        let (orders, mail) = unbounded_channel();
+        let (begun, mut begins) = watch::channel(None);
+        let task = actix_rt::spawn(self.run(mail, begun));
+        let begun = begins.wait_for(Option::is_some).await.map_err(|_| anyhow!("{name} was not started"))?;
+        if let Some(Err(error)) = &*begun {
+            bail!("{name}: {error}");
+        }
+        Ok(Serving { orders, at, task })
+    }
+
     pub(crate) async fn run(
         mut self,
         mut orders: UnboundedReceiver<Do>,
@@ -468,23 +515,14 @@
         }
         std::fs::write(folder.join("config.json"), config.to_string())?;
         hold.insert(name.clone(), reached);
-        let at = Rc::new(Cell::new(None));
-        let log = trial.out.as_ref().map(|out| out.join(format!("{name}.log")));
-        let (lab, program) = (trial.lab.clone(), trial.program.clone());
         let instance = Instance {
-            lab,
-            program,
             arguments: trial.arguments.clone(),
-            name: name.clone(),
-            folder,
-            log,
-            at: at.clone(),
-            history: history.clone(),
-            process: None,
-            told: false,
+            log: trial.out.as_ref().map(|out| out.join(format!("{name}.log"))),
             member: members[name].clone(),
             plant: trial.plant.clone(),
+            ..Instance::new(&trial.lab, &trial.program, name, folder, &history)
         };
+        let at = instance.at.clone();
         let (orders, mail) = unbounded_channel();
         let (begun, begins) = watch::channel(None);
         waits.push((instance, mail, begun, begins));
--- a/crates/trial/src/soak/audit.rs
+++ b/crates/trial/src/soak/audit.rs
@@ -1,6 +1,6 @@
 //! What a soak is judged by: the protocol page's terms, from what clients and servers saw. Pure.
 
-use crate::audit::{Bounds, Broken, Property, Verdict};
+use crate::audit::{Answers, Bounds, Broken, Property, Verdict};
 use crate::history::{Answer, Event, What};
 use crate::schedule::Fault;
 use std::collections::{BTreeMap, BTreeSet};
@@ -132,22 +132,10 @@
                 }
             }
             [] => add(Property::OneAnswer, limit, format!("{id} got none")),
-            [(at, answer)] => {
-                if *at > limit {
-                    add(Property::OneAnswer, *at, format!("{id} got it {} ms late", (at - limit) / 1000));
-                }
-                match answer {
-                    Answer::Served(body) if !self.began.iter().any(|(_, made)| made == body) => {
-                        add(Property::OneAnswer, *at, format!("{id} got '{body}', which no server made"));
-                    }
-                    Answer::Refused if self.once && !self.began.is_empty() => {
-                        add(Property::OnceOnly, *at, format!("{id} was refused after it ran"));
-                    }
-                    Answer::Broken(why) => add(Property::OneAnswer, *at, format!("{id} got none: {why}")),
-                    Answer::Served(_) | Answer::Refused | Answer::Failed => {}
-                }
+            answers => {
+                let bodies = self.began.iter().map(|(_, body)| *body).collect();
+                Answers { of: id, answers, bodies, once: self.once, limit, excused: false }.judge(add);
             }
-            [.., (at, _)] => add(Property::OneAnswer, *at, format!("{id} got {}", self.answers.len())),
         }
     }
 }
--- a/crates/trial/src/soak/audit/tests.rs
+++ b/crates/trial/src/soak/audit/tests.rs
@@ -81,3 +81,12 @@
     let (verdict, _) = judge(&[], BOUNDS);
     assert!(matches!(verdict, Verdict::Broken(broken) if broken[0].property == Property::EndsInTime));
 }
+
+#[test]
+fn a_rig_that_ran_late_says_nothing() {
+    let late = |by| Event { at: 10, what: What::Late { by } };
+    assert_eq!(judge(&[late(BOUNDS.late), down(IN_ORDER)], BOUNDS).0, Verdict::Kept);
+    // Also where something is broken: the rig may have broken it.
+    let history = [late(BOUNDS.late + 1), asked("a", false), down(IN_ORDER)];
+    assert_eq!(judge(&history, BOUNDS).0, Verdict::Void(BOUNDS.late + 1));
+}
--- a/crates/trial/src/soak/client.rs
+++ b/crates/trial/src/soak/client.rs
@@ -1,6 +1,7 @@
 //! Clients of the soak: each sends one request at a time on a connection, keeps it for as long as it stays open, and opens
 //! another while the platform still sends to the process.
 
+use super::plan::NAME;
 use crate::history::{Answer, What};
 use crate::rig::{History, saw};
 use rand::Rng;
@@ -97,7 +98,7 @@
         let wait = self.wait.mul_f64(rng.random_range(0.5..=1.0));
         let kind = [Kind::Read, Kind::Pay, Kind::Book][rng.random_range(0..3)];
         let asked = What::Asked {
-            by: "n0".to_owned(),
+            by: NAME.to_owned(),
             id: id.clone(),
             once: kind == Kind::Book,
             wait: wait.as_micros() as u64,
--- a/crates/trial/src/soak/mod.rs
+++ b/crates/trial/src/soak/mod.rs
@@ -3,45 +3,31 @@
 
 pub mod audit;
 mod client;
+mod plan;
 
 use crate::audit::{Bounds, Verdict};
 use crate::history::{Event, What};
-use crate::relay::{Target, Ways};
-use crate::rig::{Do, History, Instance, PATIENCE, Stand, Times, config, saw, watch_timers};
+use crate::relay::Ways;
+use crate::rig::{Do, History, Instance, PATIENCE, Serving, Stand, saw, watch_timers};
 use crate::schedule::{Fault, Ill};
 use crate::stands::{Listed, Order, form};
-use anyhow::{Context, Result, anyhow, bail};
+use anyhow::{Context, Result};
 use client::{Client, crowd};
+use plan::{NAME, SERVERS, SERVES_MS};
+pub use plan::{Plan, Slow};
 use rand::rngs::SmallRng;
-use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
-use serde_json::{Value, json};
 use std::cell::Cell;
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
-use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
-/// The one instance.
-const NAME: &str = "n0";
-/// Stand-in servers.
-const SERVERS: usize = 4;
-/// How long clients ask before the process is told to end.
-const SERVES: Duration = Duration::from_millis(2500);
-/// For how long after that the process still takes new connections: every second further signal comes within it.
-const STILL_SERVES: Duration = Duration::from_millis(500);
+/// Clients of a crowd, all idle.
+const CROWD: usize = 60;
 /// SIGKILL comes no sooner than the longest deadline and this after the signal that ends the process (the protocol page).
 const KILL_MARGIN: Duration = Duration::from_millis(700);
-/// What the process is told that it may hold where a crowd comes, and what clients and servers have of it.
-const CROWDED_SOCKETS: usize = 104;
-const CROWDED_CLIENTS: usize = 36;
-const CROWDED_SERVERS: usize = 8;
-/// Idle clients of a crowd.
-const CROWD: usize = 60;
 
 /// A run of the soak.
 pub struct Soak {
@@ -57,25 +43,6 @@
     pub log: Option<PathBuf>,
 }
 
-/// What the seed draws.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    /// The longest deadline.
-    pub wait: Duration,
-    /// Clients that ask.
-    pub clients: usize,
-    /// Idle clients hold every place that there is.
-    pub crowd: bool,
-    /// Discovery can't be reached from here on.
-    pub discovery_down: bool,
-    /// Servers that stand still, and those that answer late by so many milliseconds.
-    pub hung: Vec<usize>,
-    /// The same.
-    pub slow: Vec<(usize, u64)>,
-    /// Signals and when they are sent, from when the clients began; the first that ends the process is sent at `SERVES`.
-    pub signals: Vec<(Duration, Fault)>,
-}
-
 /// What came of a run.
 pub struct Soaked {
     /// What was drawn.
@@ -90,71 +57,6 @@
     pub start: u64,
 }
 
-impl Plan {
-    /// Draws a plan.
-    #[must_use]
-    pub fn draw(rng: &mut SmallRng) -> Plan {
-        let wait = Duration::from_millis(rng.random_range(300..=3000));
-        let mut servers: Vec<usize> = (0..SERVERS).collect();
-        servers.shuffle(rng);
-        let hung = servers.split_off(SERVERS - rng.random_range(0..=2));
-        let late = rng.random_range(0..=1);
-        let slow = servers[..late].iter().map(|server| (*server, rng.random_range(20..=200))).collect();
-        let who = NAME.to_owned();
-        let ends = |interrupt: bool| {
-            if interrupt { Fault::Interrupt { who: who.clone() } } else { Fault::Term { who: who.clone() } }
-        };
-        let reload = || Fault::Reload { who: who.clone() };
-        let mut signals = vec![(SERVES, ends(rng.random_bool(0.3)))];
-        // In series, while it serves and after it was told to end.
-        for _ in 0..rng.random_range(2..=5) {
-            signals.push((SERVES.mul_f64(rng.random_range(0.1..1.0)), reload()));
-        }
-        for n in 0..rng.random_range(2..=5) {
-            let within = if n % 2 == 0 { STILL_SERVES.min(wait) } else { wait };
-            let after = SERVES + within.mul_f64(rng.random::<f64>());
-            signals.push((after, if rng.random_bool(0.4) { reload() } else { ends(rng.random_bool(0.5)) }));
-        }
-        // At once with the one that ends it.
-        if rng.random_bool(0.5) {
-            signals.push((SERVES, reload()));
-            signals.push((SERVES, ends(rng.random_bool(0.5))));
-        }
-        signals.sort_by_key(|(at, _)| *at);
-        Plan {
-            wait,
-            clients: rng.random_range(12..=24),
-            crowd: rng.random_bool(0.3),
-            discovery_down: rng.random_bool(0.3),
-            hung,
-            slow,
-            signals,
-        }
-    }
-
-    /// The configuration of the process, another at each reload.
-    fn config(&self, discovery: SocketAddr, known: &Value, bounds: Bounds, rng: &mut SmallRng) -> Value {
-        let aim = self.wait.mul_f64(rng.random_range(0.3..1.0));
-        let times = Times { aim, wait: self.wait, grace: bounds.grace };
-        let mut config = config(times, NAME, discovery, known, rng.random());
-        config["settings"]["limits"]["try_limit"] = json!(rng.random_range(2..=4));
-        if self.crowd {
-            config["limits"] = json!({"cores": 1.0, "memory_mb": 192, "sockets": CROWDED_SOCKETS});
-            config["sidecar"] =
-                json!({"client_connections": CROWDED_CLIENTS, "server_connections": CROWDED_SERVERS});
-        }
-        config
-    }
-}
-
-/// The process under test while it is played with.
-struct Rig {
-    orders: UnboundedSender<Do>,
-    at: Rc<Cell<Option<SocketAddr>>>,
-    history: History,
-    task: actix_rt::task::JoinHandle<()>,
-}
-
 impl Soak {
     /// Plays it to its end. All that was started has ended when this returns, or is dropped.
     ///
@@ -188,36 +90,45 @@
             Ok(std::fs::write(&file, plan.config(discovery, &known, self.bounds, rng).to_string())?)
         };
         write(&mut rng)?;
-        let rig = self.start(folder.path(), &history).await?;
+        let instance = Instance {
+            arguments: vec!["serve".to_owned()],
+            log: self.log.clone(),
+            ..Instance::new(&self.lab, &self.program, NAME, folder.path().to_owned(), &history)
+        };
+        let Serving { orders, at, task } = instance.serve().await?;
 
         let start = crate::clock::now();
         let begun = Instant::now();
         self.disturb(&plan, &ways, &servers, &history);
-        let over = begun + SERVES + plan.wait + KILL_MARGIN;
+        let over = begun + Duration::from_millis(SERVES_MS) + plan.wait + KILL_MARGIN;
         let mut clients = Vec::new();
         for n in 0..plan.clients {
-            let client = Client::new(n, rig.at.clone(), history.clone(), plan.wait, over);
+            let client = Client::new(n, at.clone(), history.clone(), plan.wait, over);
             clients.push(actix_rt::spawn(client.run(SmallRng::from_rng(&mut rng))));
         }
         if plan.crowd {
-            clients.push(actix_rt::spawn(crowd(rig.at.clone(), CROWD, over)));
+            clients.push(actix_rt::spawn(crowd(at, CROWD, over)));
         }
         let watches = watch_timers(history.clone());
-        for (after, signal) in &plan.signals {
-            sleep_until(begun + *after).await;
-            if matches!(signal, Fault::Reload { .. }) {
+        for signal in &plan.signals {
+            sleep_until(begun + Duration::from_millis(signal.at_ms)).await;
+            if matches!(signal.fault, Fault::Reload { .. }) {
                 write(&mut rng)?;
             }
-            let _ = rig.orders.send(Do::Fault(signal.clone()));
+            let _ = orders.send(Do::Fault(signal.fault.clone()));
         }
         sleep_until(over).await;
-        rig.kill_if_alive();
+        // The kill at the page's earliest, of a process that has not ended by then.
+        if !history.borrow().iter().any(|event| matches!(event.what, What::Down { .. })) {
+            saw(&history, What::Overdue { who: NAME.to_owned() });
+            let _ = orders.send(Do::Fault(Fault::Kill { who: NAME.to_owned() }));
+        }
         watches.abort();
         for client in clients {
             timeout(PATIENCE, client).await.context("a client does not end")??;
         }
-        drop(rig.orders);
-        timeout(PATIENCE, rig.task).await.context("the process does not end")??;
+        drop(orders);
+        timeout(PATIENCE, task).await.context("the process does not end")??;
         for stand in servers {
             stand.end().await?;
         }
@@ -228,54 +139,17 @@
         Ok(Soaked { plan, verdict, counts, history, start })
     }
 
-    async fn start(&self, folder: &Path, history: &History) -> Result<Rig> {
-        let at = Rc::new(Cell::new(None));
-        let instance = Instance {
-            lab: self.lab.clone(),
-            program: self.program.clone(),
-            arguments: vec!["serve".to_owned()],
-            name: NAME.to_owned(),
-            folder: folder.to_owned(),
-            log: self.log.clone(),
-            at: at.clone(),
-            history: history.clone(),
-            process: None,
-            told: false,
-            member: Target::default(),
-            plant: None,
-        };
-        let (orders, mail) = unbounded_channel();
-        let (begun, mut begins) = watch::channel(None);
-        let task = actix_rt::spawn(instance.run(mail, begun));
-        let begun = begins.wait_for(Option::is_some).await.map_err(|_| anyhow!("it was not started"))?;
-        if let Some(Err(error)) = &*begun {
-            bail!("{error}");
-        }
-        Ok(Rig { orders, at, history: history.clone(), task })
-    }
-
     /// What goes wrong with servers and discovery, from the beginning to the end.
     fn disturb(&self, plan: &Plan, ways: &Ways, servers: &[Stand], history: &History) {
         for server in &plan.hung {
             servers[*server].signal(Signal::STOP);
             saw(history, What::Did { fault: Fault::Stop { who: format!("s{server}") } });
         }
-        for (server, delay_ms) in &plan.slow {
-            ways.way(&format!("s{server}"), NAME).set(Ill { delay_ms: *delay_ms, ..Ill::default() });
+        for Slow { server, delay_ms } in plan.slow.iter().copied() {
+            ways.way(&format!("s{server}"), NAME).set(Ill { delay_ms, ..Ill::default() });
         }
         if plan.discovery_down {
             ways.way("list", NAME).set(Ill { cut: true, ..Ill::default() });
         }
     }
 }
-
-impl Rig {
-    /// The kill at the page's earliest, of a process that has not ended by then.
-    fn kill_if_alive(&self) {
-        let ended = self.history.borrow().iter().any(|event| matches!(event.what, What::Down { .. }));
-        if !ended {
-            saw(&self.history, What::Overdue { who: NAME.to_owned() });
-            let _ = self.orders.send(Do::Fault(Fault::Kill { who: NAME.to_owned() }));
-        }
-    }
-}
