--- a/review/standins.rs
+++ b/review/standins.rs
@@ -469,6 +469,15 @@
 
 /// Where a case writes: its own folder for the record, a temporary one for the rest.
 pub fn folders() -> (PathBuf, PathBuf) {
+    // A fault of the driver itself is no verdict, and leaves no process behind.
+    let usual = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        usual(info);
+        if thread::current().name() == Some("main") {
+            kill_children();
+            std::process::exit(2);
+        }
+    }));
     let case = PathBuf::from(std::env::var("CASE").expect("CASE"));
     let temporary = PathBuf::from(std::env::var("WORK").expect("WORK"));
     (case, temporary)
