--- a/review/3/driver.rs
+++ b/review/3/driver.rs
@@ -1,4 +1,4 @@
-//! Case 3: a keyed class whose repeats are dropped by the servers of one hall; halls that join with a new configuration.
+//! Case 3: a long body of a class that must not run twice, while new configurations come in a row.
 
 #[path = "../standins.rs"]
 mod standins;
@@ -7,131 +7,181 @@
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-const CLASS: &str = "keyed-send";
-/// How long the servers of one hall drop a repeat of a key.
-const WINDOW: Duration = Duration::from_secs(1);
-const TIMEOUT_S: f64 = 0.21;
-/// Clients send one after the other, so many a second.
-const REQUESTS: usize = 400;
+const UPLOADS: usize = 3;
+const BODY_BYTES: usize = 1280 * 1024;
+const BYTES_PER_S: usize = 64 * 1024;
+const TIMEOUT_S: f64 = 0.74;
+/// From one new configuration to the next.
+const BETWEEN: Duration = Duration::from_secs(12);
+
+/// The settings of liga-ljubljana, with these classes.
+fn settings(classes: &[&str]) -> String {
+    format!(
+        r#"{{"zones":["ljubljana-1","ljubljana-2"],"locality":0,"balancers":3,"me":0,"discovery":"pushed",
+"classes":[{}],
+"limits":{{"try_limit":6,"parallel_tries":false,"cancel":true,"retry_after":false,"max_retry_after":2000000,"probes":true,
+"connect_timeout":200000,"conn_idle":5000000,"max_open":40000}},
+"safety":{{"drain_grace":1000000,"cold":8600000,"cold_from":0.32}},"stats":{{"fields":["inflight","queue","util"],"how":"inline"}}}}"#,
+        classes.join(",")
+    )
+}
+
+fn class(name: &str, gain: f64, semantics: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","aim":300000,"deadline":740000,"gain":{gain},"late_worth":0.0,"semantics":"{semantics}","group":"all","window":7500000}}"#
+    )
+}
 
 fn main() {
     let (case, work) = folders();
     let record = Record::create(&case.join("record.txt"));
-    // The halls' memories: of each hall and key, when it ran. Who ran each key, and how often connections were reset.
-    let memory: Arc<Mutex<HashMap<(String, String), Instant>>> = Arc::default();
+    // Of each result (the first line of its body), the requests that a server ran for it.
     let runs: Arc<Mutex<HashMap<String, Vec<String>>>> = Arc::default();
-    let count: Arc<Mutex<u64>> = Arc::default();
-    let serve = |hall: &'static str| -> Serve {
-        let (record, memory, runs, count) = (record.clone(), memory.clone(), runs.clone(), count.clone());
+    let serve: Serve = {
+        let (record, runs) = (record.clone(), runs.clone());
         Arc::new(move |name, request| {
             if request.target() == "/healthz" || request.target() == "/load" {
                 return Reply::Ok(String::new());
             }
-            let key = request.header("idempotency-key").to_owned();
-            let id = request.header("x-request-id").to_owned();
-            {
-                let mut memory = memory.lock().unwrap();
-                let known = memory.get(&(hall.to_owned(), key.clone())).is_some_and(|at| at.elapsed() < WINDOW);
-                if known {
-                    record.line(&format!("{name} in {hall}: request {id}, key {key}: dropped as a repeat"));
-                } else {
-                    memory.insert((hall.to_owned(), key.clone()), Instant::now());
-                    let mut runs = runs.lock().unwrap();
-                    let ran = runs.entry(key.clone()).or_default();
-                    ran.push(format!("{name} in {hall}"));
-                    if ran.len() > 1 {
-                        record.broken(&format!("request {id}, key {key} was run by {}", ran.join(" and by ")));
-                    }
-                }
+            if request.target() != "/match-result" {
+                return Reply::Ok(format!("{name} ran {}", request.header("x-request-id")));
             }
-            thread::sleep(Duration::from_millis(20));
-            // One request in twenty ends with a reset under its work.
-            let mut count = count.lock().unwrap();
-            *count += 1;
-            if trouble() && count.is_multiple_of(20) {
-                record.line(&format!("{name} in {hall}: request {id}, key {key} ran, its connection is reset"));
-                return Reply::Reset;
-            }
-            Reply::Ok(format!("{name} ran {id}"))
+            let result = String::from_utf8_lossy(&request.body).lines().next().unwrap_or_default().to_owned();
+            let id = request.header("x-request-id").to_owned();
+            let mut runs = runs.lock().unwrap();
+            let ran = runs.entry(result.clone()).or_default();
+            ran.push(id.clone());
+            // The first time, work is done and the answer is an error; later the answer is good.
+            record.line(&format!("{name} runs {result}, request {id}, {} bytes; {} times now", request.body.len(), ran.len()));
+            if ran.len() == 1 { Reply::Status(500) } else { Reply::Ok(format!("{name} ran {id}")) }
         })
     };
-    let halls = ["hall-a", "hall-b", "hall-c", "hall-d"];
-    let servers: Vec<(Server, &str)> = halls
-        .iter()
-        .flat_map(|hall| (1..=2).map(move |n| (format!("s-{}{n}", &hall[5..]), *hall)))
-        .map(|(name, hall)| (Server::start(&name, serve(hall)), hall))
-        .collect();
-    let entry_of = |server: &Server, hall: &str| entry(&server.name, server.address, hall, 1, "up");
-    let old: Vec<(String, String)> =
-        servers[..4].iter().map(|(s, hall)| (s.name.clone(), entry_of(s, hall))).collect();
-    let discovery = Discovery::start(&old);
-    // The figures of istanbul-push.
-    let settings = |zones: &str| {
-        format!(
-            r#"{{"zones":[{zones}],"locality":0,"balancers":3,"me":0,"discovery":"pushed",
-"classes":[{{"name":"{CLASS}","aim":82000,"deadline":210000,"gain":10.0,"late_worth":0.0,"semantics":"dedup","group":"zone","window":{}}},
-{{"name":"once-send","aim":82000,"deadline":210000,"gain":8.0,"late_worth":0.0,"semantics":"fragile"}}],
-"limits":{{"try_limit":3,"parallel_tries":true,"cancel":true,"retry_after":false,"probes":true,
-"connect_timeout":75000,"conn_idle":30000000,"max_open":2000}},
-"safety":{{"drain_grace":500000,"cold":8900000,"cold_from":0.34}},"stats":{{"fields":["inflight","queue","util"],"how":"inline"}}}}"#,
-            WINDOW.as_micros()
-        )
-    };
-    let (two, four) = (settings(r#""hall-a","hall-b""#), settings(r#""hall-a","hall-b","hall-c","hall-d""#));
+    let servers: Vec<Server> = (1..=4).map(|n| Server::start(&format!("s-{n}"), serve.clone())).collect();
+    let entries: Vec<(String, String)> =
+        servers.iter().map(|s| (s.name.clone(), entry(&s.name, s.address, "ljubljana-1", 1, "up"))).collect();
+    let discovery = Discovery::start(&entries);
     let known = discovery.list();
+    let standings = class("standings", 3.0, "retryable");
+    let payout = class("prize-payout", 10.0, "dedup");
+    let first = settings(&[&standings, &class("match-result", 3.0, "fragile"), &payout]);
+    let keyed = class("match-result", 3.0, "dedup");
+    let second = settings(&[&standings, &keyed, &payout]);
+    let third = settings(&[&standings, &keyed, &payout, &class("seedings", 3.0, "retryable")]);
     let mut config = SidecarConfig {
         name: "n1",
         listen: free_address(),
         console: None,
         discovery: discovery.address,
         known: &known,
-        settings: &two,
+        settings: &first,
         limits_file: None,
     };
     let sidecar = start_sidecar(&record, &work, &config);
-    thread::sleep(Duration::from_millis(1500));
+    let listen = config.listen;
+    let over = Arc::new(AtomicBool::new(false));
+    let usual = thread::spawn({
+        let (record, over) = (record.clone(), over.clone());
+        move || usual_requests(&record, listen, &over)
+    });
+    let clients: Vec<_> = (1..=UPLOADS)
+        .map(|n| {
+            let (record, runs) = (record.clone(), runs.clone());
+            thread::spawn(move || client(&record, listen, n, &runs))
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(3));
     if trouble() {
-        record.line("a new configuration names two further halls; SIGHUP; their servers join the list 2 s later");
-        config.settings = &four;
+        record.line("SIGHUP: match-result carries a key from now on");
+        config.settings = &second;
+        write_config(&sidecar.config, &config);
+        signal(sidecar.pid, SIGHUP);
+        thread::sleep(BETWEEN);
+        record.line("SIGHUP: a class seedings is added");
+        config.settings = &third;
         write_config(&sidecar.config, &config);
         signal(sidecar.pid, SIGHUP);
     }
-    thread::sleep(Duration::from_secs(2));
-    if trouble() {
-        for (server, hall) in &servers[4..] {
-            discovery.tell(&server.name, &entry_of(server, hall));
-        }
+    for client in clients {
+        client.join().unwrap();
     }
-    thread::sleep(Duration::from_secs(1));
-    let mut counts: HashMap<String, usize> = HashMap::new();
-    for _ in 0..REQUESTS {
-        let (id, ended) = send(config.listen);
-        let what = match &ended {
-            Ended::Answered(status, _) => status.to_string(),
-            other => format!("{other:?}"),
-        };
-        if !matches!(&ended, Ended::Answered(200, _)) {
-            record.line(&format!("client of {id}: {ended:?}"));
-        }
-        *counts.entry(what).or_default() += 1;
-        thread::sleep(Duration::from_millis(10));
+    over.store(true, Ordering::SeqCst);
+    usual.join().unwrap();
+    if !all_running() {
+        record.broken("the sidecar has ended");
     }
-    record.line(&format!("{REQUESTS} requests were answered with {counts:?}"));
     record.finish();
 }
 
-/// Sends one keyed request on a connection of its own.
-fn send(listen: SocketAddr) -> (String, Ended) {
+/// Sends a result that must not run twice, at the rate of a slow client, and does as it is told: it sends the result
+/// again only after a refusal.
+fn client(record: &Record, listen: SocketAddr, n: usize, runs: &Mutex<HashMap<String, Vec<String>>>) {
+    let result = format!("result {n}");
+    let mut body = format!("{result}\n").into_bytes();
+    body.resize(BODY_BYTES, b'x');
     let id = new_id();
+    record.line(&format!("client sends {result}, request {id}, {BODY_BYTES} bytes, at {BYTES_PER_S} bytes a second"));
+    let ended = send(listen, &id, "", &body, BYTES_PER_S);
+    record.line(&format!("client of {result}, request {id}: {ended:?}"));
+    match ended {
+        Ended::Answered(429 | 503, _) => {
+            let ran = runs.lock().unwrap().get(&result).cloned().unwrap_or_default();
+            if ran.contains(&id) {
+                record.broken(&format!("request {id} must not run twice, a server ran it, and it was refused"));
+            }
+            let again = new_id();
+            let ended = send(listen, &again, &format!("Idempotency-Key: k-{again}\r\n"), &body, usize::MAX);
+            let ran = runs.lock().unwrap().get(&result).cloned().unwrap_or_default();
+            record.line(&format!(
+                "client of {result}: trying again is harmless, so request {again}: {ended:?}; {result} was run {} times",
+                ran.len()
+            ));
+        }
+        Ended::Answered(..) => {}
+        Ended::Closed(why) => record.broken(&format!("the connection of request {id} {why}")),
+        Ended::Nothing => record.broken(&format!("request {id} has no answer in its time")),
+    }
+}
+
+fn send(listen: SocketAddr, id: &str, key: &str, body: &[u8], bytes_per_s: usize) -> Ended {
     let mut stream = TcpStream::connect(listen).unwrap();
-    let _ = write!(
-        stream,
-        "POST /{CLASS} HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {id}\r\nIdempotency-Key: k-{id}\r\nX-Timeout: {TIMEOUT_S}\r\nContent-Length: 5\r\n\r\nhello"
+    stream.set_nodelay(true).unwrap();
+    let head = format!(
+        "POST /match-result HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {id}\r\n{key}X-Timeout: {TIMEOUT_S}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
     );
-    let ended = read_answer(&stream, Duration::from_secs_f64(TIMEOUT_S + 0.5));
-    (id, ended)
+    let mut ok = stream.write_all(head.as_bytes()).is_ok();
+    let begun = Instant::now();
+    for (n, piece) in body.chunks(4096).enumerate() {
+        ok = ok && stream.write_all(piece).is_ok();
+        if bytes_per_s != usize::MAX {
+            let due = Duration::from_secs_f64((n + 1) as f64 * 4096.0 / bytes_per_s as f64);
+            thread::sleep(due.saturating_sub(begun.elapsed()));
+        }
+    }
+    read_answer(&stream, Duration::from_secs_f64(TIMEOUT_S + 0.5))
+}
+
+/// Usual short requests, one after the other.
+fn usual_requests(record: &Record, listen: SocketAddr, over: &AtomicBool) {
+    let mut counts: HashMap<String, usize> = HashMap::new();
+    while !over.load(Ordering::SeqCst) {
+        let id = new_id();
+        let mut stream = TcpStream::connect(listen).unwrap();
+        let _ = write!(
+            stream,
+            "GET /standings HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {id}\r\nX-Timeout: {TIMEOUT_S}\r\n\r\n"
+        );
+        let what = match read_answer(&stream, Duration::from_secs_f64(TIMEOUT_S + 0.5)) {
+            Ended::Answered(status, _) => status.to_string(),
+            other => format!("{other:?}"),
+        };
+        *counts.entry(what).or_default() += 1;
+        thread::sleep(Duration::from_millis(20));
+    }
+    record.line(&format!("usual requests were answered with {counts:?}"));
 }
