A request that ran was refused, as the number of its class was given away

What callers saw: a request of the unsafe class with a long body (20 s) ran at a server that answered 500. Two new configurations had come meanwhile.

Cause: requests refer to their class by number, and ClassNumbering::is_free gave the number of a retired class away once its deadline and 10 s had passed. The time of a request whose body still comes begins with its last byte, so it can be older than that.

Evidence: a trial of the earlier text with a line for each class number and each refusal. The request comes with number 1 ('once', unsafe); the first SIGHUP retires 1; the second, 11.6 s later, gives 1 to 'seedings' (safe); 0.002 s behind it the attempt ends in Error and the module refuses. It did not lose the class: it looked it up and found another one.

Change: RequestInfo::class is a ClassLease, taken where the head is read and dropped with the request's last attempt. transition() (ClassNumbering before) gives a number away only when no lease of it exists; it has no clock and no state any more. A number is seen as retired once by the module before another class gets it, so that what it learnt of service times is not taken over. debug logs the number of each class at SIGHUP and of each request, and when a long body is being sent to a server.

--- a/crates/engine/src/core.rs
+++ b/crates/engine/src/core.rs
@@ -15,7 +15,7 @@
 use dunlincleat_directory::{Delivery, Entry};
 use dunlincleat_limits::Admission;
 use dunlincleat_limits::{Gate, Rule, RuleSet};
-use dunlincleat_settings::InstanceSettings;
+use dunlincleat_settings::{ClassLease, InstanceSettings};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -24,8 +24,8 @@
 /// What a front knows of a request besides its payload.
 #[derive(Clone, Debug, Default)]
 pub struct RequestInfo {
-    /// Index of its class.
-    pub class: u32,
+    /// Its class, whose number keeps its meaning until the request has ended.
+    pub class: ClassLease,
     /// Index of its tenant; one past the last if the request names no known tenant.
     pub tenant: u32,
     /// How long the client waits for the answer, from when it sent the request.
@@ -262,6 +262,8 @@
 #[derive(Clone, Debug)]
 struct OpenRequest<P> {
     payload: P,
+    /// Held, not read: the decision module refers to the class by its number.
+    _class: ClassLease,
     wait: Span,
     pool: PoolId,
     rule: Option<Arc<Rule>>,
@@ -506,8 +508,10 @@
             wait = rule.timeout.map_or(wait, |timeout| wait.min(timeout));
         }
         let left = Span(wait.0.saturating_sub((now - received).0));
+        let class_number = class.number();
         let request = OpenRequest {
             payload,
+            _class: class,
             wait,
             pool,
             rule,
@@ -517,10 +521,11 @@
             attempts: Vec::new(),
             in_flight: 0,
             streaming: None,
-            key_window: self.key_windows.get(class as usize).copied().flatten(),
+            key_window: self.key_windows.get(class_number as usize).copied().flatten(),
         };
         self.requests.insert(id, request);
-        self.notify_module(now, pool, Event::Request { id, left, class, tenant, hint, key, repeat }, outputs);
+        let event = Event::Request { id, left, class: class_number, tenant, hint, key, repeat };
+        self.notify_module(now, pool, event, outputs);
     }
 
     fn client_left(&mut self, now: Time, id: RequestId, outputs: &mut Vec<Output<P, B>>) {
--- a/crates/engine/src/shell.rs
+++ b/crates/engine/src/shell.rs
@@ -318,9 +318,18 @@
                     count(State::Removed)
                 );
             }
-            Input::Request { .. }
-            | Input::ClientLeft(_)
-            | Input::Upload { .. }
+            Input::Request { id, info, .. } => {
+                tracing::debug!("request {} has class number {}", id.0, info.class.number());
+            }
+            Input::Upload { id, server, finished } => {
+                tracing::debug!(
+                    "the body of request {} {} sent to {}",
+                    id.0,
+                    if *finished { "is no longer being" } else { "is being" },
+                    self.engine.servers().uid(*server)
+                );
+            }
+            Input::ClientLeft(_)
             | Input::ProbeEnded { .. }
             | Input::DiscoveryFailed
             | Input::Settings { .. }
--- a/crates/engine/tests/rules.rs
+++ b/crates/engine/tests/rules.rs
@@ -5,7 +5,7 @@
 use dunlincleat_directory::{Delivery, Entry};
 use dunlincleat_engine::{Answer, Completion, Engine, Input, Output, PoolId, RequestInfo};
 use dunlincleat_limits::{RequestAttributes, Rule, RuleSet, check};
-use dunlincleat_settings::{InstanceSettings, read};
+use dunlincleat_settings::{ClassLease, InstanceSettings, read};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -401,7 +401,7 @@
         };
         self.requests.insert(id, request);
         let rule = rule.filter(|_| !self.hide_limits);
-        let class = class as u32;
+        let class = ClassLease::fixed(class as u32);
         let info = RequestInfo { class, tenant: 0, wait, hint: None, key: None, repeat: false, rule };
         self.input(Input::Request { id: RequestId(id), info, received: Time(self.now), payload: id });
         self.check_caps();
--- a/crates/engine/tests/watch.rs
+++ b/crates/engine/tests/watch.rs
@@ -4,7 +4,7 @@
 use dunlincleat_directory::{Delivery, Entry};
 use dunlincleat_engine::shadow::ShadowCounts;
 use dunlincleat_engine::{Completion, Engine, Input, Output, RequestInfo, Shadow};
-use dunlincleat_settings::{InstanceSettings, read};
+use dunlincleat_settings::{ClassLease, InstanceSettings, read};
 
 const MS: u64 = 1_000;
 
@@ -70,7 +70,7 @@
         engine.wake(now, &mut outputs);
         if tick % 7 == 0 {
             let info = RequestInfo {
-                class: 0,
+                class: ClassLease::fixed(0),
                 tenant: 0,
                 wait: Span(600 * MS),
                 hint: None,
--- a/crates/fleet/src/baseline.rs
+++ b/crates/fleet/src/baseline.rs
@@ -147,7 +147,7 @@
     fn input(&mut self, now: Time, input: EngineInput, out: &mut Vec<EngineOutput>) {
         match input {
             Input::Request { id, info, .. } => {
-                let (class, deadline) = (info.class, now + info.wait);
+                let (class, deadline) = (info.class.number(), now + info.wait);
                 let (attempts, may_have_run) = (Vec::new(), false);
                 self.requests.insert(id.0, Entry { class, deadline, attempts, may_have_run });
                 self.advance(now, id, out);
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -20,7 +20,7 @@
 use dunlincleat::api::{Attempt, Discovery, Effect, RequestId, ServerId, Span, State, Status, Time};
 use dunlincleat_directory::{Cause, Entry, Follower, Listing, Output as FollowerOutput, Timing, WatchId};
 use dunlincleat_engine::{Answer, Completion, Endpoint, Engine, Input, Output, PoolId, RequestInfo};
-use dunlincleat_settings::InstanceSettings;
+use dunlincleat_settings::{ClassLease, InstanceSettings};
 use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/fleet/src/world/callers.rs
+++ b/crates/fleet/src/world/callers.rs
@@ -76,9 +76,9 @@
             let error = LogNormal::new(0.0, sigma).map_or(1.0, |spread| spread.sample(&mut self.rng));
             Span((request.work * error) as u64)
         });
-        let (class_id, repeat) = (request.class as u32, request.retries > 0);
+        let (class, repeat) = (ClassLease::fixed(request.class as u32), request.retries > 0);
         let wait = Span(wait);
-        let info = RequestInfo { class: class_id, tenant: 0, wait, hint, key: None, repeat, rule: None };
+        let info = RequestInfo { class, tenant: 0, wait, hint, key: None, repeat, rule: None };
         if let Some(state) = self.instances.get_mut(&instance) {
             state.open_requests += 1;
             self.tally.max_open_requests = self.tally.max_open_requests.max(state.open_requests);
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -14,10 +14,10 @@
     BodyAborted, BodyChunk, BodyChunks, BodyData, LimitedBody, RemainingBody, ResponseBody, read_body,
 };
 use bytes::Bytes;
-use dunlincleat::api::{Effect, Span};
+use dunlincleat::api::{Class, Effect, Span};
 use dunlincleat_engine::RequestInfo;
 use dunlincleat_limits::{RequestAttributes, RuleSet};
-use dunlincleat_settings::{InstanceSettings, global_id};
+use dunlincleat_settings::{ClassLease, InstanceSettings, global_id};
 pub use fenced_task::{FenceRejection, FencedTask};
 use futures_util::StreamExt;
 use futures_util::stream::once;
@@ -83,8 +83,8 @@
         let path = head.uri.path();
         let unknown =
             Malformed { status: StatusCode::NOT_FOUND, reason: "no such class", counts_as_failed: true };
-        let class = class_of(path, site).ok_or(unknown)?;
-        let settings = &site.settings.classes[class];
+        let lease = class_of(path, site).and_then(|number| site.lease_class(number)).ok_or(unknown)?;
+        let settings = &site.settings.classes[lease.number() as usize];
         let key = head.headers.get(&IDEMPOTENCY_KEY).cloned();
         let method = match settings.effect {
             Effect::Safe => Method::GET,
@@ -103,13 +103,13 @@
         }
         let id = head.headers.get(&REQUEST_ID).filter(|id| !id.is_empty()).cloned();
         let id = id.ok_or_else(|| bad_request("X-Request-ID is missing"))?;
-        let mut info = request_info(head, class, site)?;
+        let mut info = request_info(head, settings, lease, site)?;
         info.rule = rules.map(|rules| {
             let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
             let attributes = RequestAttributes {
                 path,
                 method: method.as_str(),
-                class: info.class,
+                class: info.class.number(),
                 tenant: info.tenant,
                 header: &header,
             };
@@ -201,8 +201,13 @@
 }
 
 /// The attributes of a request that the engine needs, without the rule that it is admitted under.
-fn request_info(head: &RequestHead, class: usize, site: &InstanceSettings) -> Result<RequestInfo, Malformed> {
-    let deadline = site.settings.classes[class].deadline;
+fn request_info(
+    head: &RequestHead,
+    class: &Class,
+    lease: ClassLease,
+    site: &InstanceSettings,
+) -> Result<RequestInfo, Malformed> {
+    let deadline = class.deadline;
     let wait = match header_text(&head.headers, &TIMEOUT) {
         None => deadline,
         // The deadline of the class covers all attempts: a longer timeout gains nothing, and a huge one would hold
@@ -219,7 +224,7 @@
     let mut attrs = header_text(&head.headers, &ATTRS).into_iter().flat_map(|attrs| attrs.split(','));
     let object = attrs.find_map(|attr| attr.trim().strip_prefix("object="));
     Ok(RequestInfo {
-        class: class as u32,
+        class: lease,
         tenant: tenant.unwrap_or(site.tenants.len()) as u32,
         wait,
         hint: hint.filter(|c| c.is_finite() && *c >= 0.0).map(|c| Span(c as u64)),
--- a/crates/lab/src/slopes/control.rs
+++ b/crates/lab/src/slopes/control.rs
@@ -14,7 +14,7 @@
 };
 use dunlincleat_engine::{Completion, Engine, Input, Output, RequestInfo};
 use dunlincleat_limits::{Rule, check};
-use dunlincleat_settings::{ClassNumbering, InstanceSettings, read};
+use dunlincleat_settings::{InstanceSettings, read, transition};
 use std::hint::black_box;
 use std::sync::Arc;
 
@@ -440,12 +440,11 @@
     sidecar.serve(200);
     let (settings, file) = (settings_json(classes, false), rules_file(services));
     let mut current = Arc::new(first);
-    let mut numbering = ClassNumbering::default();
     cpu_per_iteration(context, |n| {
         sidecar.now = sidecar.now + Span(1_000_000);
         // A different value each time, so that no work is skipped for unchanged settings.
         let settings = settings.replace("\"cold\":1000000", &format!("\"cold\":{}", 1_000_000 + n));
-        current = Arc::new(numbering.apply(sidecar.now, &current, read(&settings)?).instance);
+        current = Arc::new(transition(&current, read(&settings)?).instance);
         let rules = check(&file, &current).rules;
         sidecar.engine_input(Input::Settings { site: current.clone(), shadow: None });
         if let Some(rules) = rules.filter(|_| services > 0) {
--- a/crates/settings/src/class_numbering.rs
+++ b/crates/settings/src/class_numbering.rs
@@ -2,20 +2,10 @@
 //! change without a restart. No I/O, no clock.
 
 use crate::InstanceSettings;
-use dunlincleat::api::{Class, Span, Time};
+use crate::class_lease::ClassLeases;
+use dunlincleat::api::Class;
 
-/// How long after a class is removed the HTTP front may still submit a request of it.
-const LATE_SUBMISSION: Span = Span(10_000_000);
-
-/// Assigns numbers to classes over all settings that a process has had. A request in progress refers to its class by
-/// number, so a number is reused only when no request can refer to it any more.
-#[derive(Clone, Debug, Default)]
-pub struct ClassNumbering {
-    /// When each number was retired; `None` while it is in use.
-    retired_at: Vec<Option<Time>>,
-}
-
-/// The result of [`ClassNumbering::apply`].
+/// The result of [`transition`].
 #[derive(Clone, Debug)]
 pub struct Transition {
     /// The settings to use from now on.
@@ -27,68 +17,61 @@
 struct NamedClass {
     name: String,
     class: Class,
+    leases: ClassLeases,
 }
 
-impl ClassNumbering {
-    /// Combines the settings in force, `old`, with those that replace them from `now` on, `new`. Classes of `new` get
-    /// their permanent numbers. Settings that are read only at start-up (reports, discovery, zones) keep their old
-    /// values, and their keys are returned if `new` has other values.
-    pub fn apply(&mut self, now: Time, old: &InstanceSettings, mut new: InstanceSettings) -> Transition {
-        let mut classes = named_classes(old);
-        let requested = named_classes(&new);
-        self.retired_at.resize(classes.len(), None);
-        self.retire_missing(now, &mut classes, &requested);
-        for class in requested {
-            self.add(now, &mut classes, class);
+/// Combines the settings in force, `old`, with those that replace them, `new`. A class keeps its number over all
+/// settings that contain it unchanged. The number of a retired class is given to another one only when no request holds
+/// a lease of it. Settings that are read only at start-up (reports, discovery, zones) keep their old values, and their
+/// keys are returned if `new` has other values.
+#[must_use]
+pub fn transition(old: &InstanceSettings, mut new: InstanceSettings) -> Transition {
+    let mut classes = named_classes(old);
+    let requested = named_classes(&new);
+    // Before any class is retired here: the decision module is told that a class is retired before another one gets its
+    // number.
+    let mut free_numbers = free_numbers(&classes).into_iter();
+    retire_missing(&mut classes, &requested);
+    for class in requested {
+        let in_use = classes.iter().any(|other| other.name == class.name && !other.class.retired);
+        if in_use {
+            continue;
         }
-        (new.classes, new.settings.classes) =
-            classes.into_iter().map(|named| (named.name, named.class)).unzip();
-        let restart_only = keep_start_up_settings(old, &mut new);
-        Transition { instance: new, restart_only }
-    }
-
-    /// Retires the classes that were removed or changed.
-    fn retire_missing(&mut self, now: Time, classes: &mut [NamedClass], requested: &[NamedClass]) {
-        for (current, retired_at) in classes.iter_mut().zip(&mut self.retired_at) {
-            let stays =
-                requested.iter().any(|other| other.name == current.name && other.class == current.class);
-            if !stays && !current.class.retired {
-                // Without a name, no path selects the class any more.
-                current.name.clear();
-                current.class.retired = true;
-                *retired_at = Some(now);
-            }
+        match free_numbers.next() {
+            Some(number) => classes[number] = class,
+            None => classes.push(class),
         }
     }
+    new.class_leases = classes.iter().map(|named| named.leases.clone()).collect();
+    (new.classes, new.settings.classes) = classes.into_iter().map(|named| (named.name, named.class)).unzip();
+    let restart_only = keep_start_up_settings(old, &mut new);
+    Transition { instance: new, restart_only }
+}
 
-    /// Gives a class that is not in use yet the first number that is free, or the next one.
-    fn add(&mut self, now: Time, classes: &mut Vec<NamedClass>, class: NamedClass) {
-        if classes.iter().any(|other| other.name == class.name && !other.class.retired) {
-            return;
-        }
-        match (0..classes.len()).find(|n| self.is_free(now, *n, &classes[*n].class)) {
-            Some(n) => {
-                classes[n] = class;
-                self.retired_at[n] = None;
-            }
-            None => {
-                classes.push(class);
-                self.retired_at.push(None);
-            }
-        }
-    }
+/// The numbers of the retired classes that no request refers to any more.
+fn free_numbers(classes: &[NamedClass]) -> Vec<usize> {
+    let numbered = classes.iter().enumerate();
+    let free = numbered.filter(|(_, named)| named.class.retired && !named.leases.any_held());
+    free.map(|(number, _)| number).collect()
+}
 
-    /// Whether no request can refer to a retired class any more.
-    fn is_free(&self, now: Time, number: usize, class: &Class) -> bool {
-        let longest_use = class.deadline + LATE_SUBMISSION;
-        self.retired_at[number].is_some_and(|retired_at| now - retired_at > longest_use)
+/// Retires the classes that were removed or changed.
+fn retire_missing(classes: &mut [NamedClass], requested: &[NamedClass]) {
+    for current in classes {
+        let stays = requested.iter().any(|other| other.name == current.name && other.class == current.class);
+        if !stays && !current.class.retired {
+            // Without a name, no path selects the class any more.
+            current.name.clear();
+            current.class.retired = true;
+        }
     }
 }
 
 fn named_classes(instance: &InstanceSettings) -> Vec<NamedClass> {
     let names = instance.classes.iter().cloned();
     let classes = instance.settings.classes.iter().cloned();
-    names.zip(classes).map(|(name, class)| NamedClass { name, class }).collect()
+    let leases = instance.class_leases.iter().cloned();
+    names.zip(classes).zip(leases).map(|((name, class), leases)| NamedClass { name, class, leases }).collect()
 }
 
 /// Replaces the settings that are read only at start-up by the old ones. Returns the keys of those that differ.
--- a/crates/settings/src/convert.rs
+++ b/crates/settings/src/convert.rs
@@ -1,6 +1,7 @@
 //! Validates the raw settings and converts them.
 
 use crate::InstanceSettings;
+use crate::class_lease::ClassLeases;
 use crate::raw::{RawClass, RawLimits, RawSafety, RawSettings, RawTenant};
 use anyhow::{Result, bail};
 use dunlincleat::api::{
@@ -20,6 +21,7 @@
     validate(&raw)?;
     let settings = module_settings(&raw)?;
     Ok(InstanceSettings {
+        class_leases: raw.classes.iter().map(|_| ClassLeases::default()).collect(),
         classes: raw.classes.into_iter().map(|class| class.name).collect(),
         tenants: raw.tenants.into_iter().map(|tenant| tenant.name).collect(),
         zones: raw.zones,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,15 +3,18 @@
 
 #![forbid(unsafe_code)]
 
+mod class_lease;
 mod class_numbering;
 mod convert;
 mod missing_key;
 mod raw;
 
-pub use class_numbering::{ClassNumbering, Transition};
+pub use class_lease::ClassLease;
+pub use class_numbering::{Transition, transition};
 pub use missing_key::first_missing_key;
 
 use anyhow::{Context, Result, anyhow};
+use class_lease::ClassLeases;
 use dunlincleat::api::{Settings, Span};
 
 /// The settings of one instance: those of the decision module, and what only its host needs.
@@ -34,6 +37,17 @@
     /// The grace period of a drain, if stated. No new attempt is sent to a draining server, whatever is left of the
     /// period; hosts derive the timers of the discovery watch from it.
     pub drain_grace: Option<Span>,
+    /// The leases of the classes, indexed by class number.
+    class_leases: Vec<ClassLeases>,
+}
+
+impl InstanceSettings {
+    /// Issues a lease of the class with this number, if there is one.
+    #[must_use]
+    pub fn lease_class(&self, number: usize) -> Option<ClassLease> {
+        let leases = self.class_leases.get(number)?;
+        Some(leases.issue(u32::try_from(number).ok()?))
+    }
 }
 
 /// Parses the settings of one instance from JSON text.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -21,7 +21,7 @@
 use dunlincleat_http::options::HttpOptions;
 use dunlincleat_http::peer::Peers;
 use dunlincleat_limits::{Checked, Fleet, RuleSet, Severity};
-use dunlincleat_settings::{ClassNumbering, InstanceSettings};
+use dunlincleat_settings::{InstanceSettings, transition};
 use dunlincleat_status::duty_control::{DutyCommand, DutyControl};
 use dunlincleat_status::lifecycle::{Event, StageMachine, StageTiming};
 use dunlincleat_status::{Lifecycle, Metrics};
@@ -136,15 +136,8 @@
         .transpose()?;
     let front_config =
         front::FrontConfig { active: active_receiver, options: options.clone(), metrics: metrics.clone() };
-    let mut reloader = Reloader {
-        limits_argument,
-        class_numbering: ClassNumbering::default(),
-        engine: engine.clone(),
-        list: list_handle,
-        active,
-        metrics,
-        clock,
-    };
+    let mut reloader =
+        Reloader { limits_argument, engine: engine.clone(), list: list_handle, active, metrics };
     let mut front_task = actix_rt::spawn(front::serve(listener, front_config, engine, lifecycle.clone()));
     let ticking = lifecycle.clone();
     actix_rt::spawn(async move { ticking.run().await });
@@ -251,12 +244,10 @@
 struct Reloader {
     /// The limits file named on the command line, which takes precedence.
     limits_argument: Option<PathBuf>,
-    class_numbering: ClassNumbering,
     engine: dunlincleat_http::Handle,
     list: list::ListHandle,
     active: watch::Sender<Rc<ActiveSettings>>,
     metrics: Arc<Metrics>,
-    clock: Clock,
 }
 
 impl Reloader {
@@ -282,8 +273,7 @@
         // Everything is validated before anything is applied.
         let mut read_settings = InstanceSettings::clone(&new.settings);
         read_settings.settings.limits.peer_messages = false;
-        let mut class_numbering = self.class_numbering.clone();
-        let next = class_numbering.apply(self.clock.now(), &config.settings, read_settings);
+        let next = transition(&config.settings, read_settings);
         let settings = Arc::new(next.instance);
         let limits_file = self.limits_argument.clone().or_else(|| new.limits_file.clone());
         let rules = limits_file.map(|path| read_limits(&path, &settings)).transpose()?.map(Arc::new);
@@ -293,9 +283,9 @@
         let config_changes = config.restart_only_changes(&new).into_iter();
         let restart_only: Vec<&str> = config_changes.chain(next.restart_only).chain(fleet_change).collect();
 
-        self.class_numbering = class_numbering;
         logger::set_level(new.log_level);
         tracing::info!("SIGHUP: new configuration, discovery at {}", new.discovery);
+        log_class_numbers(&settings);
         if !restart_only.is_empty() {
             tracing::warn!("SIGHUP: changes that need a restart are ignored: {}", restart_only.join(", "));
         }
@@ -324,6 +314,14 @@
     }
 }
 
+/// Logs the number of each class, by which the lines about requests refer to it.
+fn log_class_numbers(settings: &InstanceSettings) {
+    let numbered = settings.classes.iter().enumerate();
+    for (number, name) in numbered.filter(|(_, name)| !name.is_empty()) {
+        tracing::debug!("class '{name}' has number {number}");
+    }
+}
+
 /// Orders the classes of the shadow settings by the class numbers of the active settings.
 fn renumber_classes(mut shadow: Settings, read: &InstanceSettings, active: &InstanceSettings) -> Settings {
     let shadow_classes = std::mem::replace(&mut shadow.classes, active.settings.classes.clone());
--- a/crates/sidecar/tests/reload.rs
+++ b/crates/sidecar/tests/reload.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use serde_json::json;
+use std::io::Write;
 
 #[test]
 fn discovery_address_changes_while_a_request_is_in_flight() {
@@ -92,3 +93,32 @@
     sidecar.wait_for_log("changes that need a restart are ignored: name, limits, sidecar");
     assert!(!sidecar.log.all().iter().any(|line| line.contains("new configuration")));
 }
+
+/// Guards against an unsafe request that ran and was refused, so that its client sent it again: while its long body came,
+/// two new configurations gave the number of its class to another class.
+#[test]
+fn request_whose_body_outlasts_two_reloads_keeps_its_class() {
+    const BODY_BYTES: usize = 1 << 20;
+    let server = FakeServer::start(|_, _| status_only(500));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
+    let mut client = sidecar.connect();
+    client.send(&format!(
+        "POST /once HTTP/1.1\r\nHost: x\r\nX-Request-ID: r1\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    ));
+    let body = vec![b'x'; BODY_BYTES];
+    client.stream.write_all(&body[..BODY_BYTES / 2]).unwrap();
+    sidecar.wait_for_log("attempt 0 of request 0 goes out");
+    let mut config = sidecar.config.clone();
+    config["settings"]["classes"][1]["semantics"] = json!("dedup");
+    sidecar.reload(&config.to_string());
+    sidecar.wait_for_log("class 'once' has number 3");
+    let classes = config["settings"]["classes"].as_array_mut().unwrap();
+    let mut seedings = classes[0].clone();
+    seedings["name"] = json!("seedings");
+    classes.push(seedings);
+    sidecar.reload(&config.to_string());
+    sidecar.wait_for_log("class 'seedings' has number");
+    client.stream.write_all(&body[BODY_BYTES / 2..]).unwrap();
+    assert_eq!(client.read_response().status(), 502, "refused, though it may have run");
+    assert_eq!(server.request_count(), 1);
+}
