Two attempts read one long body: a torn body ran, others were never answered

What callers saw: where a server's connections came up late and a second copy was sent, a server ran a long body that had lost pieces in its middle, and its client was served 200.

Cause: a body longer than what is held goes to one attempt, as it comes. exchange::send asked whether it had been read by another attempt when an attempt started, but an attempt reads only once its connection is up. Two that waited for their connections both passed and shared the chunks. Who polls the source behind its end panics (unfold), which ends the actor of that server and loses the outcome of all that it has in hand.

Evidence: a trial of the earlier text with a line for each chunk. Attempts 0 and 1 of one request go out 11 ms apart to two servers that accept 1 s later. Both connections read from the same body: 2 chunks and 4 and the end; then the panic in RemainingBody::poll of the first, and its attempt is never reported.

Change: RemainingBody::claim gives out one BodyReader, and only a BodyReader reads. An attempt claims the body at its first read, with its connection up and nothing written yet. The second to come ends as NotSent: nothing of it has reached its server, and the server is not blamed. A first attempt that waits for its connection still leaves the body to a hedged one.

Test: long_body_is_sent_by_one_of_two_attempts_that_waited_for_their_ connections. On the earlier text it failed: no answer within 20 s.

--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -11,7 +11,8 @@
 use actix_http::{Method, RequestHead, Response, StatusCode};
 use body::StreamingBody;
 pub use body::{
-    BodyAborted, BodyChunk, BodyChunks, BodyData, LimitedBody, RemainingBody, ResponseBody, read_body,
+    BodyAborted, BodyChunk, BodyChunks, BodyData, BodyReader, LimitedBody, RemainingBody, ResponseBody,
+    read_body,
 };
 use bytes::Bytes;
 use dunlincleat::api::{Class, Effect, Span};
@@ -19,8 +20,6 @@
 use dunlincleat_limits::{RequestAttributes, RuleSet};
 use dunlincleat_settings::{ClassLease, InstanceSettings, global_id};
 pub use fenced_task::{FenceRejection, FencedTask};
-use futures_util::StreamExt;
-use futures_util::stream::once;
 pub use reply::Reply;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -161,13 +160,14 @@
         header_text(&head.headers, &header::CONTENT_LENGTH).and_then(|l| l.parse::<u64>().ok())
     }
 
-    /// Encodes it for a server. `left` is how long the sidecar will wait; `rest` is what follows the buffered body.
+    /// Encodes it for a server. `left` is how long the sidecar will wait; `chunks` is the whole body, if it was not
+    /// received completely when the request was accepted.
     pub fn encode(
         &self,
         client: &awc::Client,
         server: SocketAddr,
         left: Duration,
-        rest: Option<BodyChunks>,
+        chunks: Option<BodyChunks>,
     ) -> awc::SendClientRequest {
         let uri = format!("http://{server}{}", self.target);
         let request = client
@@ -185,17 +185,13 @@
         let extra = self.task.iter().flat_map(|task| &task.headers);
         let request =
             extra.fold(request, |request, (name, value)| request.insert_header((*name, value.as_str())));
-        let first = self.body.clone();
-        match rest {
-            Some(chunks) => {
-                let chunks = once(async move { Ok(first) }).chain(chunks);
-                match self.rest.as_ref().and_then(|rest| rest.length) {
-                    Some(length) => request.send_body(SizedStream::new(length, chunks)),
-                    None => request.send_body(BodyStream::new(chunks)),
-                }
-            }
-            None if self.method == Method::GET && first.is_empty() => request.send(),
-            None => request.send_body(first),
+        match chunks {
+            Some(chunks) => match self.rest.as_ref().and_then(|rest| rest.length) {
+                Some(length) => request.send_body(SizedStream::new(length, chunks)),
+                None => request.send_body(BodyStream::new(chunks)),
+            },
+            None if self.method == Method::GET && self.body.is_empty() => request.send(),
+            None => request.send_body(self.body.clone()),
         }
     }
 }
--- a/crates/http/src/message/body.rs
+++ b/crates/http/src/message/body.rs
@@ -9,6 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use tokio::sync::mpsc;
 
@@ -46,12 +47,12 @@
 /// The chunks of a request body, as they are received.
 pub type BodyChunks = LocalBoxStream<'static, Result<Bytes, PayloadError>>;
 
-/// The part of a request body that has not been received yet. It can be read once: an attempt that failed before it
-/// read any of it leaves it to the next one.
+/// The part of a request body that has not been received yet. It can be read once, by the attempt that claims it; an
+/// attempt that fails before that leaves it to the next one.
 pub struct RemainingBody {
     /// The source of the chunks.
     chunks: RefCell<BodyChunks>,
-    read_started: Cell<bool>,
+    claimed: Cell<bool>,
     /// The length of the whole body, if announced.
     pub length: Option<u64>,
 }
@@ -59,18 +60,28 @@
 impl RemainingBody {
     /// Creates the rest of a body of the given total length.
     pub fn new(chunks: BodyChunks, length: Option<u64>) -> RemainingBody {
-        RemainingBody { chunks: RefCell::new(chunks), read_started: Cell::new(false), length }
+        RemainingBody { chunks: RefCell::new(chunks), claimed: Cell::new(false), length }
     }
 
-    /// Whether any of it has been read, so that what is left is incomplete.
-    pub fn read_started(&self) -> bool {
-        self.read_started.get()
+    /// Whether an attempt has claimed it, so that no other can send it any more.
+    pub fn is_claimed(&self) -> bool {
+        self.claimed.get()
     }
 
-    /// Reads the next chunk.
-    pub fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, PayloadError>>> {
-        self.read_started.set(true);
-        self.chunks.borrow_mut().poll_next_unpin(cx)
+    /// Claims it for the attempt that is about to send it; `None` if another attempt has claimed it.
+    pub fn claim(self: Rc<Self>) -> Option<BodyReader> {
+        (!self.claimed.replace(true)).then_some(BodyReader(self))
+    }
+}
+
+/// The one reader of a [`RemainingBody`].
+pub struct BodyReader(Rc<RemainingBody>);
+
+impl Stream for BodyReader {
+    type Item = Result<Bytes, PayloadError>;
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.0.chunks.borrow_mut().poll_next_unpin(cx)
     }
 }
 
--- a/crates/http/src/peer/exchange.rs
+++ b/crates/http/src/peer/exchange.rs
@@ -10,14 +10,15 @@
 use crate::options::HttpOptions;
 use crate::write_progress::WriteProgress;
 use crate::{Completion, Handle};
+use actix_http::error::PayloadError;
 use bytes::{Bytes, BytesMut};
 use dunlincleat::api::{Attempt, RequestId, ServerId, Span, Status};
-use futures_util::{StreamExt, stream};
+use futures_util::{StreamExt, TryStreamExt, stream};
 use std::cell::{Cell, RefCell};
 use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::{Poll, ready};
+use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
@@ -95,18 +96,27 @@
 }
 
 impl RequestBody {
-    /// The rest of the body, as awc reads it. When it ends, the deadline of the attempt starts to run.
-    fn into_chunks(self: Rc<RequestBody>, rest: Rc<RemainingBody>, state: Rc<ConnectionState>) -> BodyChunks {
-        let chunks = stream::poll_fn(move |cx| {
-            let chunk = ready!(rest.poll(cx));
-            if chunk.is_none() {
-                drop(self.upload.borrow_mut().take());
-                self.completed_at.set(Some(Instant::now()));
-                state.set_body_ended();
-            }
-            Poll::Ready(chunk)
+    /// The body, its buffered part first, as awc reads it once the connection is established. Several attempts may wait
+    /// for their connections at the same time: the first one that gets there claims the body, and the others fail here,
+    /// before anything is written. When the body ends, the deadline of the attempt starts to run.
+    fn into_chunks(
+        self: Rc<RequestBody>,
+        buffered: Bytes,
+        rest: Rc<RemainingBody>,
+        state: Rc<ConnectionState>,
+    ) -> BodyChunks {
+        let claimed = stream::once(async move { rest.claim().ok_or(PayloadError::Incomplete(None)) });
+        let chunks = claimed.map_ok(move |reader| {
+            let buffered = buffered.clone();
+            stream::once(async move { Ok(buffered) }).chain(reader)
+        });
+        let ended = stream::poll_fn(move |_| {
+            drop(self.upload.borrow_mut().take());
+            self.completed_at.set(Some(Instant::now()));
+            state.set_body_ended();
+            Poll::Ready(None)
         });
-        chunks.boxed_local()
+        chunks.try_flatten().chain(ended).boxed_local()
     }
 }
 
@@ -136,8 +146,8 @@
     let started = Instant::now();
     let left = deadlines.until.saturating_duration_since(started);
     let rest = request.remaining_body();
-    // An incomplete body must not be sent as if it were complete: what another attempt has read of it is gone.
-    if rest.as_ref().is_some_and(|rest| rest.read_started()) {
+    // What another attempt has read of the body is gone.
+    if rest.as_ref().is_some_and(|rest| rest.is_claimed()) {
         return ExchangeResult::not_sent(connection);
     }
     // The permission is checked where the effect starts, not where it was granted.
@@ -153,10 +163,11 @@
         upload: RefCell::new(rest.is_some().then(|| UploadGuard::new(attempt, context))),
         completed_at: Cell::new(None),
     });
-    let rest = rest.map(|rest| body.clone().into_chunks(rest, connection.state.clone()));
+    let buffered = request.buffered_body().clone();
+    let chunks = rest.map(|rest| body.clone().into_chunks(buffered, rest, connection.state.clone()));
     let exchange = async {
         let response =
-            request.encode(&connection.client, endpoint, left, rest).await.map_err(error_status)?;
+            request.encode(&connection.client, endpoint, left, chunks).await.map_err(error_status)?;
         let reply = Reply::decode(response.status(), response.headers(), &context.fields);
         if let Some(task) = request.task() {
             task.record_response(response.status(), response.headers());
--- a/crates/sidecar/tests/bodies.rs
+++ b/crates/sidecar/tests/bodies.rs
@@ -272,3 +272,45 @@
     let _ = writer.join();
     release.send(()).unwrap();
 }
+
+/// Guards against two attempts that read one body: both waited for their connections, and when these came up each sent
+/// a part of it. A server ran what no client had sent, or the client was never answered.
+#[test]
+fn long_body_is_sent_by_one_of_two_attempts_that_waited_for_their_connections() {
+    const BODY_BYTES: usize = 1 << 20;
+    let late = [SaturatedListener::new(), SaturatedListener::new()];
+    let folder = tempfile::tempdir().unwrap();
+    let limits = folder.path().join("limits.toml");
+    let text = "[[route]]\nname = 'pays'\nmatch = { class = 'pay' }\nsecond_copy = { after = '10ms' }";
+    std::fs::write(&limits, text).unwrap();
+    let known = vec![entry("s1", late[0].address, "up"), entry("s2", late[1].address, "up")];
+    let mut setup = Setup::new(known)
+        .long_timeouts()
+        .set("/settings/limits/parallel_tries", json!(true))
+        .set("/settings/classes/2/window", json!(60_000_000));
+    setup.env.push(("EDGE_LIMITS", limits.display().to_string()));
+    let sidecar = setup.start();
+    let mut client = sidecar.connect();
+    client.send(&format!(
+        "POST /pay HTTP/1.1\r\nHost: x\r\nX-Request-ID: r1\r\nX-Timeout: 60\r\nIdempotency-Key: k\r\n\
+         Content-Length: {BODY_BYTES}\r\n\r\n"
+    ));
+    let body: Vec<u8> = (0..=255).cycle().take(BODY_BYTES).collect();
+    client.stream.write_all(&body[..BODY_BYTES / 2]).unwrap();
+    sidecar.wait_for_log("attempt 1 of request 0 goes out");
+    let servers = late.map(|listener| {
+        let queued = listener.queued_connections();
+        let server = listener.open_as_server(|_, _| ok("ran"));
+        (server, queued)
+    });
+    for (server, queued) in &servers {
+        server.opened.wait(queued + 1, "connections");
+    }
+    for part in body[BODY_BYTES / 2..].chunks(1 << 14) {
+        client.stream.write_all(part).unwrap();
+    }
+    assert_eq!(client.read_response().text(), "ran");
+    let received: Vec<_> = servers.iter().flat_map(|(server, _)| server.requests.all()).collect();
+    assert_eq!(received.len(), 1, "attempts that were written completely");
+    assert!(received[0].message.body == body, "the body was altered");
+}
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -331,6 +331,11 @@
         SaturatedListener { listener, queued, address }
     }
 
+    /// Number of connections in its accept queue, which are accepted first.
+    pub fn queued_connections(&self) -> usize {
+        self.queued.len()
+    }
+
     /// Accepts connections from here on, as stub discovery.
     pub fn open_as_discovery(self) -> StubDiscovery {
         drop(self.queued);
