A request of a dropped pool was never answered

What callers saw: a new operator's file defines a pool otherwise, or drops it, while a long body of a request of that pool comes.

Pools::update_servers removed a dropped pool and its decision module by the clock, after the longest deadline and 10 s, and the outcome of the attempt was then given to nobody. The same reference had a second fault: a request got its pool by the name, when it was submitted, so one that was read under the older file and submitted later got the servers of the newer one.

Change: a rule holds its pools (PoolChoice::pool), a request holds its rule, and a pool exists for as long as the file in force or any of these refers to it (Pool::is_referenced). A request uses the pool of its own rule. The clock, its constant and the longest deadline are gone from the pools.

--- a/crates/engine/src/core.rs
+++ b/crates/engine/src/core.rs
@@ -354,7 +354,7 @@
             cancel_allowed: site.settings.limits.cancellation,
             key_windows: key_windows(site),
             id_retention: longest_deadline,
-            pools: Pools::new(site, seed, longest_deadline),
+            pools: Pools::new(site, seed),
             gate: Gate::new(max_requests),
             timers: Timers::default(),
             requests: FxHashMap::default(),
@@ -646,7 +646,7 @@
         self.key_windows = key_windows(site);
         // An open request may still have the longer deadline of earlier settings.
         self.id_retention = self.id_retention.max(longest_deadline(site));
-        for pool in self.pools.set_settings(site, self.id_retention) {
+        for pool in self.pools.set_settings(site) {
             self.notify_module(now, pool, Event::Settings { set: &site.settings }, outputs);
         }
         if let (Some(shadow), Some(settings)) = (&mut self.shadow, shadow_settings) {
@@ -656,7 +656,7 @@
 
     fn set_rules(&mut self, now: Time, rules: &RuleSet, outputs: &mut Vec<Output<P, B>>) {
         self.gate.retain_routes(rules.rules().map(|rule| rule.name.as_str()));
-        for PoolMembers { pool, members } in self.pools.set_rules(now, rules) {
+        for PoolMembers { pool, members } in self.pools.set_rules(rules) {
             let entries = &members;
             self.notify_module(now, pool, Event::Members { kind: ListKind::Cached, entries }, outputs);
         }
@@ -670,7 +670,7 @@
         if kind == ListKind::Full {
             self.remove_missing(now, &ids, outputs);
         }
-        for PoolMembers { pool, members } in self.pools.update_servers(now, kind, &delivery.entries, &ids) {
+        for PoolMembers { pool, members } in self.pools.update_servers(kind, &delivery.entries, &ids) {
             self.notify_module(now, pool, Event::Members { kind, entries: &members }, outputs);
         }
     }
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -1,16 +1,14 @@
-//! Pools of servers. Each pool has its own decision module, which knows only the servers of its pool. A pool that is
-//! missing from a new limits file is kept for as long as a request may still belong to it.
+//! Pools of servers. Each pool has its own decision module, which knows only the servers of its pool. A pool exists for
+//! as long as the limits file in force or the rule of a request refers to it.
 
 use crate::server_table::ServerTable;
 use dunlincleat::Balancer;
-use dunlincleat::api::{Action, Event, ListKind, Member, ServerId, Settings, Span, State, Time};
+use dunlincleat::api::{Action, Event, ListKind, Member, ServerId, Settings, State, Time};
 use dunlincleat_directory::Entry;
 use dunlincleat_limits::{PoolHealth, PoolRule, Rule, RuleSet};
 use dunlincleat_settings::{InstanceSettings, global_id};
 use std::collections::BTreeMap;
-
-/// How long a front may take from looking up the rule of a request to passing the request to the engine.
-const MAX_SUBMIT_DELAY: Span = Span(10_000_000);
+use std::sync::{Arc, Weak};
 
 /// Identifies a pool, and its decision module, within one engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -25,8 +23,15 @@
     /// Rule that selects the servers of the pool; none for the pool of all servers.
     rule: Option<PoolRule>,
     balancer: Balancer,
-    /// When a new limits file dropped the pool.
-    dropped_at: Option<Time>,
+    /// The same rule in each limits file that had the pool. Routes of the file refer to it, and their requests.
+    sources: Vec<Weak<PoolRule>>,
+}
+
+impl Pool {
+    /// Whether a limits file in force or a request refers to the pool; always, for the pool of all servers.
+    fn is_referenced(&self) -> bool {
+        self.rule.is_none() || self.sources.iter().any(|source| source.strong_count() > 0)
+    }
 }
 
 /// A server as last listed.
@@ -63,7 +68,8 @@
     settings: Settings,
     zones: Vec<String>,
     seed: u64,
-    longest_deadline: Span,
+    /// The pools of the limits file in force.
+    in_force: Vec<Arc<PoolRule>>,
     pools: BTreeMap<PoolId, Pool>,
     next_id: u32,
     /// Listed servers by id.
@@ -73,15 +79,15 @@
 impl Pools {
     /// Creates the pool of all servers.
     #[must_use]
-    pub fn new(site: &InstanceSettings, seed: u64, longest_deadline: Span) -> Pools {
+    pub fn new(site: &InstanceSettings, seed: u64) -> Pools {
         let settings = site.settings.clone();
         let balancer = Balancer::new(settings.clone(), seed);
-        let pools = BTreeMap::from([(PoolId::ALL, Pool { rule: None, balancer, dropped_at: None })]);
+        let pools = BTreeMap::from([(PoolId::ALL, Pool { rule: None, balancer, sources: Vec::new() })]);
         Pools {
             settings,
             zones: site.zones.clone(),
             seed,
-            longest_deadline,
+            in_force: Vec::new(),
             pools,
             next_id: 1,
             listed: BTreeMap::new(),
@@ -110,15 +116,10 @@
     /// Returns the pool that serves requests under `rule`.
     #[must_use]
     pub fn pool_for(&self, now: Time, rule: &Rule, servers: &ServerTable) -> PoolId {
-        let find = |name: &str| {
-            let has_name = |pool: &&Pool| pool.rule.as_ref().is_some_and(|rule| rule.name == name);
-            // If two pools have the same name, the one with the larger id is from the newer file.
-            self.pools.iter().rev().find(|(_, pool)| has_name(pool))
-        };
-        let health = |name: &str| {
-            let Some((_, pool)) = find(name) else { return PoolHealth::default() };
+        let find = |rule: &PoolRule| self.pools.iter().find(|(_, pool)| pool.rule.as_ref() == Some(rule));
+        let health = |rule: &PoolRule| {
             let ready = self.listed.values().filter(|server| server.member.state == State::Ready);
-            let members = ready.filter(|server| server.selected_by(pool.rule.as_ref()));
+            let members = ready.filter(|server| server.selected_by(Some(rule)));
             members.fold(PoolHealth::default(), |health, server| {
                 let is_healthy = servers.get(server.member.server).is_some_and(|record| record.healthy(now));
                 PoolHealth { servers: health.servers + 1, healthy: health.healthy + usize::from(is_healthy) }
@@ -131,13 +132,11 @@
     /// the decision module of each pool.
     pub fn update_servers(
         &mut self,
-        now: Time,
         kind: ListKind,
         entries: &[Entry],
         ids: &[ServerId],
     ) -> Vec<PoolMembers> {
-        let retention = Span(self.longest_deadline.0.saturating_add(MAX_SUBMIT_DELAY.0));
-        self.pools.retain(|_, pool| pool.dropped_at.is_none_or(|dropped_at| now - dropped_at <= retention));
+        self.pools.retain(|_, pool| pool.is_referenced());
         if kind != ListKind::Changes {
             self.listed.clear();
         }
@@ -190,21 +189,21 @@
     }
 
     /// Applies new settings to pools created later; returns the existing pools, which must be notified.
-    pub fn set_settings(&mut self, site: &InstanceSettings, longest_deadline: Span) -> Vec<PoolId> {
+    pub fn set_settings(&mut self, site: &InstanceSettings) -> Vec<PoolId> {
         self.settings = site.settings.clone();
-        self.longest_deadline = longest_deadline;
         self.ids()
     }
 
     /// Applies the pools of a new limits file; returns each new pool with its servers.
-    pub fn set_rules(&mut self, now: Time, rules: &RuleSet) -> Vec<PoolMembers> {
-        for pool in self.pools.values_mut().filter(|pool| pool.rule.is_some()) {
-            let kept = rules.pools().iter().any(|rule| pool.rule.as_ref() == Some(rule));
-            pool.dropped_at = if kept { None } else { pool.dropped_at.or(Some(now)) };
-        }
+    pub fn set_rules(&mut self, rules: &RuleSet) -> Vec<PoolMembers> {
+        self.in_force = rules.pools().to_vec();
         let mut new = Vec::new();
         for rule in rules.pools() {
-            if self.pools.values().any(|pool| pool.rule.as_ref() == Some(rule)) {
+            let source = Arc::downgrade(rule);
+            let known = self.pools.values_mut().find(|pool| pool.rule.as_ref() == Some(&**rule));
+            if let Some(pool) = known {
+                pool.sources.retain(|source| source.strong_count() > 0);
+                pool.sources.push(source);
                 continue;
             }
             let id = PoolId(self.next_id);
@@ -212,7 +211,8 @@
             // Each pool draws independently, and identically in each run with the same seed.
             let seed = self.seed ^ u64::from(id.0).wrapping_mul(0x9e37_79b9_7f4a_7c15);
             let balancer = Balancer::new(self.settings.clone(), seed);
-            self.pools.insert(id, Pool { rule: Some(rule.clone()), balancer, dropped_at: None });
+            let pool = Pool { rule: Some(PoolRule::clone(rule)), balancer, sources: vec![source] };
+            self.pools.insert(id, pool);
             let selected = self.listed.values().filter(|server| server.selected_by(Some(rule)));
             let members = selected.map(|server| server.member).collect();
             new.push(PoolMembers { pool: id, members });
--- a/crates/limits/src/routes.rs
+++ b/crates/limits/src/routes.rs
@@ -77,7 +77,7 @@
     /// For each class, the indices of the routes that its requests may match.
     by_class: Vec<Vec<u32>>,
     default: Arc<Rule>,
-    pools: Vec<PoolRule>,
+    pools: Vec<Arc<PoolRule>>,
     fleet: Option<Arc<Fleet>>,
 }
 
@@ -101,7 +101,8 @@
         instance: &InstanceSettings,
         fleet: Option<Fleet>,
     ) -> RuleSet {
-        let builder = RuleBuilder { file, lines: LineIndex::new(text) };
+        let pools: Vec<Arc<PoolRule>> = file.pools.iter().map(pool_rule).map(Arc::new).collect();
+        let builder = RuleBuilder { file, lines: LineIndex::new(text), pools: &pools };
         let build_route = |route: &RouteSection| Route {
             matcher: Matcher::new(&route.conditions, instance),
             rule: Arc::new(builder.route_rule(route)),
@@ -117,9 +118,9 @@
         RuleSet {
             by_class,
             default: Arc::new(builder.default_rule()),
-            pools: file.pools.iter().map(pool_rule).collect(),
             routes,
             fleet: fleet.map(Arc::new),
+            pools,
         }
     }
 
@@ -150,7 +151,7 @@
 
     /// The pools, in the order of the file.
     #[must_use]
-    pub fn pools(&self) -> &[PoolRule] {
+    pub fn pools(&self) -> &[Arc<PoolRule>] {
         &self.pools
     }
 }
@@ -169,6 +170,8 @@
 struct RuleBuilder<'a> {
     file: &'a LimitsFile,
     lines: LineIndex,
+    /// The pools of the file, in its order.
+    pools: &'a [Arc<PoolRule>],
 }
 
 impl RuleBuilder<'_> {
@@ -206,20 +209,28 @@
         let Some(first) = options.pool.as_ref().and_then(|at| self.find_pool(&at.value)) else {
             return Vec::new();
         };
-        let fall_back = first.fall_back.iter().flat_map(|at| &at.value);
+        let fall_back = first.section.fall_back.iter().flat_map(|at| &at.value);
         let fall_back = fall_back.filter_map(|name| self.find_pool(name));
-        std::iter::once(first).chain(fall_back).map(pool_choice).collect()
+        std::iter::once(first).chain(fall_back).map(PoolEntry::choice).collect()
     }
 
-    fn find_pool(&self, name: &str) -> Option<&PoolSection> {
-        self.file.pools.iter().find(|pool| pool.name.value == name)
+    fn find_pool(&self, name: &str) -> Option<PoolEntry<'_>> {
+        let mut entries = self.file.pools.iter().zip(self.pools);
+        let (section, rule) = entries.find(|(section, _)| section.name.value == name)?;
+        Some(PoolEntry { section, rule })
     }
 }
 
-fn pool_choice(pool: &PoolSection) -> PoolChoice {
-    PoolChoice {
-        name: pool.name.value.clone(),
-        least_healthy: pool.least_healthy.as_ref().map_or(0.0, |at| at.value),
+/// A pool of the file.
+struct PoolEntry<'a> {
+    section: &'a PoolSection,
+    rule: &'a Arc<PoolRule>,
+}
+
+impl PoolEntry<'_> {
+    fn choice(self) -> PoolChoice {
+        let least_healthy = self.section.least_healthy.as_ref().map_or(0.0, |at| at.value);
+        PoolChoice { pool: self.rule.clone(), least_healthy }
     }
 }
 
--- a/crates/limits/src/rule.rs
+++ b/crates/limits/src/rule.rs
@@ -2,6 +2,7 @@
 
 use crate::file::{HedgeDelay, RetryBudget, WeightRange};
 use dunlincleat::api::Span;
+use std::sync::Arc;
 
 /// The limits of a route. `None` leaves the decision to the settings and the decision module.
 #[derive(Clone, Debug, PartialEq)]
@@ -67,18 +68,18 @@
     /// Chooses a pool: the first with enough healthy servers, otherwise the one with the largest healthy part, and the
     /// first among equals.
     #[must_use]
-    pub fn choose_pool(&self, health: impl Fn(&str) -> PoolHealth) -> Option<&str> {
-        let healthy_part = |choice: &PoolChoice| health(&choice.name).healthy_part();
+    pub fn choose_pool(&self, health: impl Fn(&PoolRule) -> PoolHealth) -> Option<&PoolRule> {
+        let healthy_part = |choice: &PoolChoice| health(&choice.pool).healthy_part();
         let is_usable = |choice: &&PoolChoice| {
             let part = healthy_part(choice);
             part > 0.0 && part >= choice.least_healthy
         };
         if let Some(choice) = self.pools.iter().find(is_usable) {
-            return Some(&choice.name);
+            return Some(&choice.pool);
         }
         // `max_by` returns the last of equal elements: reversed, that is the first one listed.
         let healthiest = self.pools.iter().rev().max_by(|a, b| healthy_part(a).total_cmp(&healthy_part(b)));
-        healthiest.map(|choice| choice.name.as_str())
+        healthiest.map(|choice| &*choice.pool)
     }
 }
 
@@ -102,8 +103,8 @@
 /// A pool that a route may use.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PoolChoice {
-    /// Its name.
-    pub name: String,
+    /// The pool. It exists for as long as a rule refers to it.
+    pub pool: Arc<PoolRule>,
     /// The part of its servers that must be healthy for the pool to be used.
     pub least_healthy: f64,
 }
--- a/crates/limits/tests/gate.rs
+++ b/crates/limits/tests/gate.rs
@@ -1,7 +1,8 @@
 //! Retry budgets and limits on a simulated clock, and the choice among pools.
 
 use dunlincleat::api::Time;
-use dunlincleat_limits::{Gate, PoolChoice, PoolHealth, RetryBudget, Rule};
+use dunlincleat_limits::{Gate, PoolChoice, PoolHealth, PoolRule, RetryBudget, Rule};
+use std::sync::Arc;
 
 fn rule(name: &str, part: f64, least_per_s: f64) -> Rule {
     Rule {
@@ -53,14 +54,17 @@
 
 #[test]
 fn empty_pool_falls_back_and_is_used_again_once_healthy() {
-    let choice = |name: &str, least_healthy| PoolChoice { name: name.into(), least_healthy };
+    let pool = |name: &str| {
+        Arc::new(PoolRule { name: name.into(), zones: None, models: None, cells: None, weight: None })
+    };
+    let choice = |name: &str, least_healthy| PoolChoice { pool: pool(name), least_healthy };
     let rule = Rule { pools: vec![choice("near", 0.5), choice("far", 0.0)], ..Rule::unrestricted() };
     let pool_for = |near: (usize, usize), far: (usize, usize)| {
-        let health = |name: &str| {
-            let (servers, healthy) = if name == "near" { near } else { far };
+        let health = |pool: &PoolRule| {
+            let (servers, healthy) = if pool.name == "near" { near } else { far };
             PoolHealth { servers, healthy }
         };
-        rule.choose_pool(health).unwrap_or_default().to_owned()
+        rule.choose_pool(health).unwrap().name.clone()
     };
     assert_eq!(pool_for((4, 4), (4, 4)), "near");
     assert_eq!(pool_for((4, 1), (4, 4)), "far");
--- a/crates/sidecar/src/cli/route.rs
+++ b/crates/sidecar/src/cli/route.rs
@@ -67,7 +67,7 @@
             budget.retries_per_attempt, budget.min_retries_per_s
         )
     });
-    let pools: Vec<&str> = rule.pools.iter().map(|pool| pool.name.as_str()).collect();
+    let pools: Vec<&str> = rule.pools.iter().map(|choice| choice.pool.name.as_str()).collect();
     let pool = (!pools.is_empty()).then(|| pools.join(", then "));
     let number = |value: Option<u32>| value.map(|value| value.to_string());
     let keys = [
