A keyed request with a long body could run outside its group

A keyed request of group zone has a long body, its server leaves the list meanwhile, its first attempt is reset and a repeat goes out within the zone. With the next list, the number of the first server was given to a server of another zone, and where the repeat failed too, the next one went to that zone, which does not know the key.

Cause: ServerTable::release_removed released a removed server's number after the longest deadline since its removal, once nothing was in flight there. A request whose body still came is older, and the decision module takes its group from the number of its first attempt's server.

Change: a record counts the attempts of open requests at its server, ended or not (remembered_attempts), and the number is not released while there is one. The time since the removal stays as a least one, so that a server that is listed again soon keeps what is known of it.

Test: server_id_outlives_the_requests_that_were_sent_to_it (engine) failed before: attempts at a2, a1 and then b1 of the other zone. Not shown on sockets.

--- a/crates/engine/src/core.rs
+++ b/crates/engine/src/core.rs
@@ -332,7 +332,7 @@
     timers: Timers<TimerKind>,
     requests: FxHashMap<RequestId, OpenRequest<P>>,
     servers: ServerTable,
-    /// How long the id of a removed server stays reserved: as long as an open request may refer to it.
+    /// How long a removed server is remembered at least, in case it is listed again.
     id_retention: Span,
     /// Inputs that the engine produced itself while it carried out actions.
     internal_inputs: VecDeque<Input<P, B>>,
@@ -629,8 +629,11 @@
 
     /// Removes a request from the table if it has been answered and no attempt is in flight.
     fn remove_if_finished(&mut self, id: RequestId) {
-        if self.requests.get(&id).is_some_and(|request| request.answered && request.in_flight == 0) {
-            self.requests.remove(&id);
+        if !self.requests.get(&id).is_some_and(|request| request.answered && request.in_flight == 0) {
+            return;
+        }
+        if let Some(request) = self.requests.remove(&id) {
+            request.attempts.iter().for_each(|attempt| self.servers.forget_attempt(attempt.server));
         }
     }
 
@@ -644,7 +647,6 @@
         self.max_attempts = site.settings.limits.max_attempts;
         self.cancel_allowed = site.settings.limits.cancellation;
         self.key_windows = key_windows(site);
-        // An open request may still have the longer deadline of earlier settings.
         self.id_retention = self.id_retention.max(longest_deadline(site));
         for pool in self.pools.set_settings(site) {
             self.notify_module(now, pool, Event::Settings { set: &site.settings }, outputs);
@@ -796,6 +798,7 @@
         let key_expiry = request.key_expiry();
         request.attempts.push(AttemptRecord { server, started: now, status: None });
         request.in_flight += 1;
+        self.servers.remember_attempt(server);
         self.counters.attempts += 1;
         let mut rejected = request.answered || attempt.0 >= request.max_attempts;
         // A hedge that the decision module chose itself is sent only if the rule of its route allows one more attempt.
--- a/crates/engine/src/server_table.rs
+++ b/crates/engine/src/server_table.rs
@@ -13,6 +13,8 @@
     pub transport_open: bool,
     /// Attempts and probes in flight.
     pub in_flight: usize,
+    /// Attempts of open requests, ended or not: the decision module refers to their servers by id.
+    pub remembered_attempts: usize,
     /// When it was removed from the list.
     pub removed_at: Option<Time>,
     /// Consecutive attempts and probes without a reply.
@@ -102,6 +104,20 @@
         }
     }
 
+    /// Records that an open request has an attempt at this server, which it remembers until it ends.
+    pub fn remember_attempt(&mut self, server: ServerId) {
+        if let Some(record) = self.get_mut(server) {
+            record.remembered_attempts += 1;
+        }
+    }
+
+    /// Records that a request with an attempt at this server has ended.
+    pub fn forget_attempt(&mut self, server: ServerId) {
+        if let Some(record) = self.get_mut(server) {
+            record.remembered_attempts = record.remembered_attempts.saturating_sub(1);
+        }
+    }
+
     /// Returns the name of a server; empty if the id is unknown.
     #[must_use]
     pub fn uid(&self, server: ServerId) -> &str {
@@ -114,11 +130,12 @@
         records.filter(|(_, record)| !record.uid.is_empty())
     }
 
-    /// Releases the ids of servers that were removed at least `retention` ago, after which no request can refer to
-    /// them, and returns these ids. Without this, the table grew with each replaced server.
+    /// Releases the ids of servers that were removed at least `retention` ago and that no open request refers to, and
+    /// returns these ids. Without this, the table grew with each replaced server.
     pub fn release_removed(&mut self, now: Time, retention: Span) -> Vec<ServerId> {
         let releasable = |record: &ServerRecord| {
-            record.in_flight == 0 && record.removed_at.is_some_and(|removed_at| now - removed_at >= retention)
+            let in_use = record.in_flight > 0 || record.remembered_attempts > 0;
+            !in_use && record.removed_at.is_some_and(|removed_at| now - removed_at >= retention)
         };
         let released: Vec<ServerId> =
             self.assigned().filter(|(_, record)| releasable(record)).map(|(server, _)| server).collect();
--- a/crates/engine/tests/long_bodies.rs
+++ b/crates/engine/tests/long_bodies.rs
@@ -148,3 +148,28 @@
     let sent = world.submit_long(0, Some(rule));
     assert_eq!(world.engine.servers().uid(sent.server), "s1");
 }
+
+/// Guards against a keyed request that runs again outside the group that knows its key: its first server was removed
+/// while its body came, and the id of that server was given to a server of another zone.
+#[test]
+fn server_id_outlives_the_requests_that_were_sent_to_it() {
+    let mut world = World::new(&[("a1", "a"), ("a2", "a")]);
+    let first = world.submit_long(1, None);
+    let remaining = if world.engine.servers().uid(first.server) == "a1" { "a2" } else { "a1" };
+    world.list(ListKind::Full, &[(remaining, "a"), ("b1", "b")]);
+    world.now += LONG_UPLOAD_US;
+    world.finish_upload(first);
+    world.end_attempt(first, Status::Reset);
+    assert_eq!(world.attempts.len(), 2, "a repeat within the zone of the first attempt");
+    let second = world.attempts[1];
+    assert_eq!(world.engine.servers().uid(second.server), remaining);
+    world.list(ListKind::Full, &[(remaining, "a"), ("b1", "b"), ("b2", "b")]);
+    world.end_attempt(second, Status::Reset);
+    let servers = world.attempts.iter().map(|sent| world.engine.servers().uid(sent.server).to_owned());
+    assert_eq!(servers.skip(1).collect::<Vec<_>>(), [remaining], "a repeat outside the zone");
+    assert_eq!(world.answers, [Answer::Failed]);
+    // Once the request has ended, the id is free again.
+    world.now += LONG_UPLOAD_US;
+    world.list(ListKind::Full, &[(remaining, "a"), ("b1", "b"), ("b3", "b")]);
+    assert_eq!(world.engine.servers().id_of("b3"), Some(first.server));
+}
