--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -2,15 +2,17 @@
 //! sent to servers as the decision module chooses, and answered exactly once.
 //!
 //! [`core`] is a pure state machine, `input(now, input, outputs)`, without clock, task or socket. Payloads and bodies
-//! are opaque to it. [`server_table`] maps servers to their ids, [`pools`] runs one decision module per pool,
-//! [`timers`] is the timer queue, and [`shadow`] evaluates a second decision module in shadow mode. [`shell`] is the
-//! actor that drives the core on the real clock; a simulation drives it on a clock of its own.
+//! are opaque to it. [`messages`] has its inputs and outputs. [`server_table`] maps servers to their ids, [`pools`]
+//! runs one decision module per pool, [`timers`] is the timer queue, and [`shadow`] evaluates a second decision module
+//! in shadow mode. [`shell`] is the actor that drives the core on the real clock; a simulation drives it on a clock of
+//! its own.
 
 #![forbid(unsafe_code)]
 
 #[cfg(feature = "shell")]
 pub mod clock;
 pub mod core;
+pub mod messages;
 pub mod pools;
 pub mod server_table;
 pub mod shadow;
@@ -18,7 +20,8 @@
 pub mod shell;
 pub mod timers;
 
-pub use crate::core::{Answer, Completion, Counters, Endpoint, Engine, Input, Output, RequestInfo};
+pub use crate::core::Engine;
+pub use messages::{Answer, Completion, Counters, Endpoint, Input, Output, RequestInfo};
 pub use pools::PoolId;
 pub use server_table::ServerTable;
 pub use shadow::Shadow;
--- a/crates/engine/src/shell.rs
+++ b/crates/engine/src/shell.rs
@@ -2,7 +2,8 @@
 //! reaches transports and discovery through the traits [`Transports`] and [`Directory`].
 
 use crate::clock::Clock;
-use crate::core::{Answer, Completion, Counters, Endpoint, Engine, Input, Output, RequestInfo};
+use crate::core::Engine;
+use crate::messages::{Answer, Completion, Counters, Endpoint, Input, Output, RequestInfo};
 use crate::pools::PoolId;
 use crate::shadow::ShadowCounts;
 use dunlincleat::api::{Attempt, ListKind, RequestId, ServerId, Settings, State, Time};
--- a/crates/engine/tests/long_bodies.rs
+++ b/crates/engine/tests/long_bodies.rs
@@ -106,21 +106,23 @@
     }
 }
 
+/// A limits file that sends the requests of a class to a pool with these zones.
+fn limits_with_pool(zones: &str) -> String {
+    format!(
+        "[[route]]\nname = 'orders'\nmatch = {{ class = 'once' }}\npool = 'near'\n\
+         [[pool]]\nname = 'near'\nzones = {zones}"
+    )
+}
+
 /// Guards against a request that is never answered: the pool that it belonged to was removed while its body came, a
 /// deadline and some seconds after a new limits file had another definition of the pool.
 #[test]
 fn pool_outlives_the_requests_that_were_admitted_to_it() {
     let servers = [("s1", "a"), ("s2", "b")];
-    let limits = |zones: &str| {
-        format!(
-            "[[route]]\nname = 'orders'\nmatch = {{ class = 'once' }}\npool = 'near'\n\
-             [[pool]]\nname = 'near'\nzones = {zones}"
-        )
-    };
     let mut world = World::new(&servers);
-    let rule = world.apply_limits(&limits("['a']"), 0);
+    let rule = world.apply_limits(&limits_with_pool("['a']"), 0);
     let sent = world.submit_long(0, Some(rule));
-    world.apply_limits(&limits("['a', 'b']"), 0);
+    world.apply_limits(&limits_with_pool("['a', 'b']"), 0);
     world.now += LONG_UPLOAD_US;
     world.list(ListKind::Full, &servers);
     world.finish_upload(sent);
@@ -134,15 +136,9 @@
 #[test]
 fn request_uses_the_pool_of_the_file_that_it_was_read_under() {
     let servers = [("s1", "a"), ("s2", "b")];
-    let limits = |zone: &str| {
-        format!(
-            "[[route]]\nname = 'orders'\nmatch = {{ class = 'once' }}\npool = 'near'\n\
-             [[pool]]\nname = 'near'\nzones = ['{zone}']"
-        )
-    };
     let mut world = World::new(&servers);
-    let rule = world.apply_limits(&limits("a"), 0);
-    world.apply_limits(&limits("b"), 0);
+    let rule = world.apply_limits(&limits_with_pool("['a']"), 0);
+    world.apply_limits(&limits_with_pool("['b']"), 0);
     world.now += LONG_UPLOAD_US;
     world.list(ListKind::Full, &servers);
     let sent = world.submit_long(0, Some(rule));
