--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -787,8 +787,17 @@
 
     /// Resident memory of the process, in bytes.
     pub fn resident_memory(&self) -> usize {
+        self.status_bytes("VmRSS:")
+    }
+
+    /// The highest resident memory so far, in bytes.
+    pub fn peak_resident_memory(&self) -> usize {
+        self.status_bytes("VmHWM:")
+    }
+
+    fn status_bytes(&self, key: &str) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix(key)).unwrap();
         line.trim().trim_end_matches(" kB").parse::<usize>().unwrap() * 1024
     }
 
--- /dev/null
+++ b/crates/sidecar/tests/memory.rs
@@ -0,0 +1,72 @@
+//! The memory limit: what clients send must not make the process exceed it.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+
+/// The configured memory limit in MiB.
+const MEMORY_LIMIT_MIB: usize = 48;
+/// Clients that send at the same time.
+const PIPELINING_CLIENTS: usize = 20;
+/// Bytes of requests that each of them sends at once.
+const PIPELINED_BYTES: usize = 130_000;
+
+fn setup(server: &FakeServer) -> Setup {
+    Setup::new(vec![entry("s1", server.address, "up")])
+        .set("/limits/memory_mb", json!(MEMORY_LIMIT_MIB))
+        .set("/limits/sockets", json!(512))
+        .set("/sidecar/log", json!("info"))
+}
+
+fn assert_within_memory_limit(sidecar: &Sidecar) {
+    let peak = sidecar.peak_resident_memory();
+    assert!(peak < MEMORY_LIMIT_MIB << 20, "{} MiB resident at the peak", peak >> 20);
+}
+
+/// Sends these bytes while it reads the responses, until the connection ends.
+fn exchange(mut stream: TcpStream, bytes: &[u8]) -> String {
+    let mut writer = stream.try_clone().unwrap();
+    let mut received = Vec::new();
+    thread::scope(|scope| {
+        // The sidecar may close the connection before it has read everything.
+        scope.spawn(move || writer.write_all(bytes));
+        let _ = stream.read_to_end(&mut received);
+    });
+    String::from_utf8(received).unwrap()
+}
+
+/// Small requests, the last of which asks for the connection to be closed.
+fn pipelined_requests(client: usize) -> Vec<u8> {
+    let mut requests = String::new();
+    for number in 0.. {
+        let request = read_request(&format!("c{client}-{number}"));
+        if requests.len() > PIPELINED_BYTES {
+            requests.push_str(&request.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+            break;
+        }
+        requests.push_str(&request);
+    }
+    requests.into_bytes()
+}
+
+/// Guards against a process killed for its memory: clients that pipelined 130 KB of requests took 13 MB each.
+#[test]
+fn pipelined_requests_do_not_exceed_the_memory_limit() {
+    let server = FakeServer::start(|_, _| ok("x"));
+    let sidecar = setup(&server).start();
+    thread::scope(|scope| {
+        for client in 0..PIPELINING_CLIENTS {
+            let stream = sidecar.connect().stream;
+            scope.spawn(move || {
+                let responses = exchange(stream, &pipelined_requests(client));
+                assert!(responses.starts_with("HTTP/1.1 "), "{responses}");
+            });
+        }
+    });
+    assert_within_memory_limit(&sidecar);
+    assert_eq!(sidecar.request(&read_request("after")).status(), 200);
+}
