A test's own server compared 32 MiB within the deadline that it tests

long_body_is_streamed_and_its_deadline_counts_from_its_last_byte: its server compared the whole body before it answered, and the deadline of 300 ms runs from the body's last byte. Trace of a red run: the body is no longer being sent at 491.854, Timeout at 492.156, nothing else between. The server now answers first and compares then; the assertions and their bounds are the same.

--- a/crates/sidecar/tests/bodies.rs
+++ b/crates/sidecar/tests/bodies.rs
@@ -169,8 +169,9 @@
             assert!(n > 0, "the connection was closed after {} bytes", body.len());
             body.extend_from_slice(&part[..n]);
         }
-        intact.send(body.iter().zip((0..=255).cycle()).all(|(byte, expected)| *byte == expected)).unwrap();
+        // Compared after the response: on 32 MiB this takes as long as the deadline.
         stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
+        intact.send(body.iter().zip((0..=255).cycle()).all(|(byte, expected)| *byte == expected)).unwrap();
     })
     .set("/limits/memory_mb", json!(48))
     .set("/settings/classes/0/deadline", json!(300_000))
