Pipelined requests took a process over its memory limit: one request is decoded at a time

Cause: actix-http decodes all requests that it has received, up to 128 KiB of them, before it answers the first, and its bound of 16 pipelined messages is asked only before that loop. A decoded request holds about 5 KB, so one connection with 130 KB of small requests took 13 MB, with the bytes received ahead, and nothing bounded the sum over connections.

Change: RequestFramer (beside ResponseFramer, which shares the framing of bodies with it) hands actix-http the bytes of one request at a time, and those of its body no faster than they are consumed (32 KiB ahead). The next request follows when this one is answered and its client has accepted the response. Heads are bounded by 16 KiB (128 KiB before); one over it is answered 431. Once a request is answered before all of it was received, its response announces the close itself.

--- /dev/null
+++ b/crates/http/src/frame/request.rs
@@ -0,0 +1,147 @@
+//! Framing of client requests. actix-http decodes every request that it has received, up to 128 KiB of them, before it
+//! answers the first one, and a decoded request takes many times the memory of its bytes. So actix-http gets the bytes
+//! of one request at a time, and those of its body no faster than they are consumed.
+
+use super::body::{Framing, InvalidMessage, MAX_HEAD_BYTES, State, announced_body};
+use bytes::BytesMut;
+use httparse::Status::{Complete, Partial};
+
+/// Minimum free space in the buffer for each read.
+const READ_BYTES: usize = 8 * 1024;
+/// Maximum number of headers of a request, as in actix-http.
+const MAX_HEADERS: usize = 96;
+/// Maximum number of bytes of a body that actix-http holds before they are consumed.
+const BODY_WINDOW_BYTES: usize = 32 * 1024;
+
+/// The head of a request exceeds the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeadTooLong;
+
+/// Why the bytes received can't be framed.
+enum RequestError {
+    HeadTooLong,
+    Malformed,
+}
+
+impl From<InvalidMessage> for RequestError {
+    fn from(_: InvalidMessage) -> RequestError {
+        RequestError::Malformed
+    }
+}
+
+/// Frames the requests of one connection.
+#[derive(Debug)]
+pub struct RequestFramer(Framing);
+
+impl Default for RequestFramer {
+    fn default() -> RequestFramer {
+        RequestFramer(Framing::new(State::Head, BODY_WINDOW_BYTES))
+    }
+}
+
+impl RequestFramer {
+    /// Expects the next request, once the one before has been answered.
+    pub fn expect_request(&mut self) {
+        if self.0.state == State::Complete {
+            let input = std::mem::take(&mut self.0.input);
+            self.0 = Framing::new(State::Head, BODY_WINDOW_BYTES);
+            if !input.is_empty() {
+                self.0.input = input;
+            }
+        }
+    }
+
+    /// Whether all bytes of the request have been framed.
+    pub fn is_complete(&self) -> bool {
+        self.0.state == State::Complete
+    }
+
+    /// Whether bytes of the request can only be framed once some of its body has been consumed.
+    pub fn is_window_closed(&self) -> bool {
+        self.0.window == 0
+    }
+
+    /// Some bytes of the body were consumed.
+    pub fn body_consumed(&mut self, bytes: usize) {
+        self.0.window = (self.0.window + bytes).min(BODY_WINDOW_BYTES);
+    }
+
+    /// The number of bytes received that have not been framed.
+    pub fn unframed_bytes(&self) -> usize {
+        self.0.input.len()
+    }
+
+    /// The buffer for bytes read from the connection.
+    pub fn input_buffer(&mut self) -> &mut BytesMut {
+        self.0.input.reserve(READ_BYTES);
+        &mut self.0.input
+    }
+
+    /// The bytes that actix-http may read.
+    pub fn output(&mut self) -> &mut BytesMut {
+        &mut self.0.output
+    }
+
+    /// Takes what was received and not framed, where the connection is about to close.
+    pub fn take_unframed(&mut self) -> BytesMut {
+        std::mem::take(&mut self.0.input)
+    }
+
+    /// Frames the bytes received so far, up to the end of the request. A malformed request is forwarded as it is:
+    /// actix-http rejects it.
+    ///
+    /// # Errors
+    ///
+    /// The head exceeds the limit.
+    pub fn parse_input(&mut self) -> Result<(), HeadTooLong> {
+        loop {
+            match self.next_state() {
+                Ok(Some(next)) => self.0.state = next,
+                Ok(None) => return Ok(()),
+                Err(RequestError::HeadTooLong) => return Err(HeadTooLong),
+                Err(RequestError::Malformed) => {
+                    self.0.forward(self.0.input.len());
+                    self.0.state = State::Complete;
+                }
+            }
+        }
+    }
+
+    fn next_state(&mut self) -> Result<Option<State>, RequestError> {
+        match self.0.state {
+            State::Head => self.parse_head(),
+            _ => Ok(self.0.parse_body()?),
+        }
+    }
+
+    fn parse_head(&mut self) -> Result<Option<State>, RequestError> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut request = httparse::Request::new(&mut headers);
+        let length = match request.parse(&self.0.input) {
+            Ok(Complete(length)) => length,
+            Ok(Partial) if self.0.input.len() > MAX_HEAD_BYTES => return Err(RequestError::HeadTooLong),
+            Ok(Partial) => return Ok(None),
+            Err(_) => return Err(RequestError::Malformed),
+        };
+        let announced = announced_body(request.headers)?;
+        let next = if takes_over_connection(&request) {
+            State::UntilClose
+        } else {
+            announced.unwrap_or(State::Complete)
+        };
+        self.0.forward(length);
+        // Without this, an empty body would stay incomplete until more is received.
+        Ok(Some(if next == State::FixedLength(0) { State::Complete } else { next }))
+    }
+}
+
+/// Whether actix-http takes all that follows the head for one body.
+fn takes_over_connection(request: &httparse::Request<'_, '_>) -> bool {
+    let upgrades = |header: &httparse::Header<'_>| {
+        header.name.eq_ignore_ascii_case("upgrade") && header.value.eq_ignore_ascii_case(b"websocket")
+    };
+    request.method == Some("CONNECT") || request.headers.iter().any(upgrades)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/http/src/frame/request/tests.rs
@@ -0,0 +1,81 @@
+//! Tests of `request.rs`.
+
+use super::*;
+
+/// Receives these bytes in pieces of the given size and consumes every body at once; returns what actix-http would read
+/// of each request.
+fn requests(bytes: &str, piece: usize) -> Vec<String> {
+    let mut framer = RequestFramer::default();
+    let mut requests = vec![String::new()];
+    for piece in bytes.as_bytes().chunks(piece) {
+        framer.input_buffer().extend_from_slice(piece);
+        loop {
+            assert_eq!(framer.parse_input(), Ok(()));
+            framer.body_consumed(BODY_WINDOW_BYTES);
+            let output = framer.output().split();
+            requests.last_mut().unwrap().push_str(std::str::from_utf8(&output).unwrap());
+            if framer.is_complete() {
+                framer.expect_request();
+                requests.push(String::new());
+            } else if output.is_empty() {
+                break;
+            }
+        }
+    }
+    requests
+}
+
+#[test]
+fn each_request_is_framed_by_itself() {
+    let expected = [
+        "GET /a HTTP/1.1\r\nHost: x\r\n\r\n",
+        "POST /b HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello",
+        "POST /c HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+        "POST /d HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n4\r\nhalf\r\n01;x=y\r\n!\r\n0\r\n\r\n",
+        "\r\nGET /e HTTP/1.0\r\n\r\n",
+        "",
+    ];
+    for piece in [1, 7, 1000] {
+        assert_eq!(requests(&expected.concat(), piece), expected, "in pieces of {piece}");
+    }
+}
+
+#[test]
+fn body_is_forwarded_as_it_is_consumed() {
+    let mut framer = RequestFramer::default();
+    let head = "POST /a HTTP/1.1\r\nContent-Length: 100000\r\n\r\n";
+    framer.input_buffer().extend_from_slice(head.as_bytes());
+    framer.input_buffer().extend_from_slice(&[b'x'; 64 * 1024]);
+    assert_eq!(framer.parse_input(), Ok(()));
+    assert_eq!(framer.output().split().len(), head.len() + BODY_WINDOW_BYTES);
+    assert!(framer.is_window_closed() && !framer.is_complete());
+    framer.body_consumed(10);
+    assert_eq!(framer.parse_input(), Ok(()));
+    assert_eq!(framer.output().split().len(), 10);
+}
+
+#[test]
+fn malformed_requests_are_forwarded_for_rejection() {
+    for malformed in
+        ["no HTTP\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello"]
+    {
+        assert_eq!(requests(malformed, 1000)[0], malformed);
+    }
+}
+
+#[test]
+fn head_over_the_limit_is_an_error() {
+    let mut framer = RequestFramer::default();
+    framer.input_buffer().extend_from_slice(b"GET / HTTP/1.1\r\nCookie: ");
+    assert_eq!(framer.parse_input(), Ok(()));
+    framer.input_buffer().extend_from_slice(&[b'x'; MAX_HEAD_BYTES]);
+    assert_eq!(framer.parse_input(), Err(HeadTooLong));
+}
+
+#[test]
+fn connection_that_is_taken_over_has_one_request() {
+    for head in ["CONNECT x HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nUpgrade: WebSocket\r\n\r\n"] {
+        let rest = "GET /a HTTP/1.1\r\n\r\n";
+        assert_eq!(requests(&format!("{head}{rest}"), 1000), [format!("{head}{rest}")]);
+    }
+}
--- a/crates/http/src/frame/tests.rs
+++ b/crates/http/src/frame/tests.rs
@@ -1,9 +1,10 @@
 //! Tests of `frame.rs`.
 
+use super::body::MAX_HEAD_BYTES;
 use super::*;
 
 /// Frames a response received in pieces of the given size; returns what awc would read.
-fn read(response: &str, piece: usize) -> (Result<String, InvalidResponse>, ResponseFramer) {
+fn read(response: &str, piece: usize) -> (Result<String, InvalidMessage>, ResponseFramer) {
     let mut framer = ResponseFramer::new();
     framer.expect_response();
     for bytes in response.as_bytes().chunks(piece) {
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -2,11 +2,11 @@
 
 mod client_io;
 mod clients;
+mod receiving;
 mod streaming;
 
 use crate::message::{
     BodyData, HEALTH_PATH, Malformed, RemainingBody, Request, ResponseBody, class_of, encode_answer,
-    read_body,
 };
 use crate::options::HttpOptions;
 use crate::{Answer, Handle};
@@ -25,6 +25,7 @@
 use dunlincleat_status::lifecycle;
 use dunlincleat_status::metrics::{ClassOutcomes, InProgress};
 use dunlincleat_status::{Lifecycle, LogLimiter, Metrics, Stage, log_limited};
+use receiving::receive_body;
 use rustc_hash::FxHashSet;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -43,11 +44,15 @@
 const EXCESS_CONNECTIONS: usize = 16;
 /// Interval between checks of the deadlines of client connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
-/// Time a client that was too slow has to read the response and to close; what it still sends meanwhile is discarded.
-const SLOW_CLIENT_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time a client whose request was not received has to read the response and to close; what it still sends meanwhile is
+/// discarded.
+const REJECTED_CLIENT_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Response to a request that was not received completely in time; no part of it was sent to a server.
 const REQUEST_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+/// Response to a request whose head exceeds the limit.
+const HEAD_TOO_LONG_RESPONSE: &[u8] =
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
 /// The settings and limits that apply to new requests; a reload replaces them atomically.
 pub struct ActiveSettings {
@@ -248,15 +253,19 @@
         Termination::ClientLeft => {}
         Termination::RequestTimeout => {
             log_limited!(front.malformed_log, info, "request not taken: not received completely in time");
-            let _ = timeout(SLOW_CLIENT_CLOSE_TIMEOUT, reject_slow_client(&stream)).await;
+            let _ = timeout(REJECTED_CLIENT_CLOSE_TIMEOUT, reject(&stream, REQUEST_TIMEOUT_RESPONSE)).await;
+        }
+        Termination::HeadTooLong => {
+            log_limited!(front.malformed_log, info, "request not taken: its head exceeds 16 KiB (431)");
+            let _ = timeout(REJECTED_CLIENT_CLOSE_TIMEOUT, reject(&stream, HEAD_TOO_LONG_RESPONSE)).await;
         }
     }
 }
 
-/// Responds to a client that was too slow, and reads until it closes. Its last byte may have arrived meanwhile, and
-/// closing a socket with unread data sends a reset, which discards the response.
-async fn reject_slow_client(stream: &TcpStream) -> io::Result<()> {
-    stream.try_write(REQUEST_TIMEOUT_RESPONSE)?;
+/// Responds to a client whose request was not received, and reads until it closes. More of it may have arrived meanwhile,
+/// and closing a socket with unread data sends a reset, which discards the response.
+async fn reject(stream: &TcpStream, response: &[u8]) -> io::Result<()> {
+    stream.try_write(response)?;
     socket2::SockRef::from(stream).shutdown(Shutdown::Write)?;
     let mut unread = [0; 4096];
     loop {
@@ -340,8 +349,11 @@
     // When connections are scarce, each response closes its connection. Otherwise, hundreds of clients per second
     // that send one request each and keep the connection open use up the limit, as an idle connection is kept for at
     // least 2 s.
-    let close =
-        rejected || over_limit || front.clients.is_crowded() || front.stage.borrow().closes_after_response();
+    let close = rejected
+        || over_limit
+        || state.as_ref().is_some_and(|state| !state.request_received())
+        || front.clients.is_crowded()
+        || front.stage.borrow().closes_after_response();
     if close {
         // Closes the connection after the response is written; nothing else may close it before.
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
@@ -387,7 +399,8 @@
             state.enter(Phase::ReadingBody);
         }
         let mut payload = request.take_payload();
-        let body = read_body(&mut payload, self.options.max_body_bytes).await?;
+        let limit = self.options.max_body_bytes;
+        let body = receive_body(&mut payload, state, limit).await?;
         let Ok(permit) = self.request_permits.clone().try_acquire_owned() else {
             log_limited!(self.limit_log, warn, "request refused: open request limit reached");
             return Ok(Answer::Refused { retry_after: None });
--- a/crates/http/src/front/client_io.rs
+++ b/crates/http/src/front/client_io.rs
@@ -1,6 +1,7 @@
 //! The socket of a client connection, as actix-http reads and writes it.
 
 use super::clients::{ClientConnection, MAX_BUFFERED_BYTES, Phase, Termination};
+use crate::frame::request::HeadTooLong;
 use actix_rt::net::TcpStream;
 use dunlincleat_status::Stage;
 use std::io;
@@ -19,24 +20,50 @@
 }
 
 impl ClientIo {
-    /// Reads the bytes that were received ahead, then from the socket.
+    /// Reads bytes of the current request. What follows it stays in the framer until it has been answered.
     fn read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let mut read_ahead = self.state.read_ahead.borrow_mut();
-        if !read_ahead.is_empty() {
-            let part = read_ahead.len().min(buf.remaining());
-            buf.put_slice(&read_ahead.split_to(part));
-            return Poll::Ready(Ok(()));
+        let mut framer = self.state.framer.borrow_mut();
+        loop {
+            if !framer.output().is_empty() {
+                let part = framer.output().len().min(buf.remaining());
+                buf.put_slice(&framer.output().split_to(part));
+                return Poll::Ready(Ok(()));
+            }
+            if framer.parse_input() == Err(HeadTooLong) {
+                self.state.termination.set(Some(Termination::HeadTooLong));
+                return Poll::Pending;
+            }
+            if !framer.output().is_empty() {
+                continue;
+            }
+            // The next request is awaited once this one is answered, more of its body once some was consumed.
+            if framer.is_complete() || framer.is_window_closed() || self.state.read_ahead_full.get() {
+                return Poll::Pending;
+            }
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read_buf(framer.input_buffer()) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok(0) => return Poll::Ready(Ok(())),
+                Ok(_) => {}
+            }
         }
-        if self.state.read_ahead_full.get() {
-            return Poll::Pending;
+    }
+
+    /// Reads what a client still sends whose connection is about to close; nobody parses it.
+    fn read_discarded(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let unframed = self.state.framer.borrow_mut().take_unframed();
+        if !unframed.is_empty() {
+            buf.put_slice(&unframed[..unframed.len().min(buf.remaining())]);
+            return Poll::Ready(Ok(()));
         }
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read(buf.initialize_unfilled()) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
-                Ok(n) => {
-                    buf.advance(n);
+                Ok(count) => {
+                    buf.advance(count);
                     return Poll::Ready(Ok(()));
                 }
             }
@@ -56,11 +83,21 @@
             Phase::Draining if state.phase_bytes.get() >= MAX_BUFFERED_BYTES => return Poll::Ready(Ok(())),
             Phase::Connected | Phase::ReadingHead | Phase::ReadingBody | Phase::Idle | Phase::Draining => {}
         }
-        let result = this.read(cx, buf);
+        let result = match state.phase.get() {
+            Phase::Draining => this.read_discarded(cx, buf),
+            // The client has not read its last response: its next request waits.
+            Phase::Connected | Phase::Idle | Phase::ReadingHead if state.write_blocked.get() => {
+                state.read_waits_for_write.set(true);
+                Poll::Pending
+            }
+            _ => this.read(cx, buf),
+        };
         let received = buf.filled().len() - before;
         let ended = result.is_ready() && received == 0;
         match state.phase.get() {
-            Phase::Connected | Phase::Idle if received > 0 => state.enter(Phase::ReadingHead),
+            Phase::Connected | Phase::Idle if received > 0 || state.has_partial_head() => {
+                state.enter(Phase::ReadingHead);
+            }
             // Part of the body may already be on its way to a server.
             Phase::ReadingBody if ended && state.streams_body.get() => {
                 state.termination.set(Some(Termination::ClientLeft))
@@ -98,13 +135,18 @@
 
 impl AsyncWrite for ClientIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.state.write_blocked.set(true);
+        let state = &self.state;
+        state.write_blocked.set(true);
         loop {
             ready!(self.stream.poll_write_ready(cx))?;
             match self.stream.try_write(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => {
-                    self.state.write_blocked.set(result.as_ref().is_ok_and(|n| *n < buf.len()));
+                    let unsent = result.as_ref().map_or(0, |count| buf.len() - count);
+                    state.write_blocked.set(unsent > 0);
+                    if unsent == 0 && state.read_waits_for_write.take() {
+                        state.wake.notify_one();
+                    }
                     return Poll::Ready(result);
                 }
             }
--- a/crates/http/src/front/clients.rs
+++ b/crates/http/src/front/clients.rs
@@ -1,8 +1,8 @@
 //! Client connections: their phases, deadlines and eviction.
 
+use crate::frame::request::RequestFramer;
 use crate::options::HttpOptions;
 use actix_rt::net::TcpStream;
-use bytes::BytesMut;
 use dunlincleat_status::Stage;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -39,6 +39,8 @@
     ClientLeft,
     /// The request was not received completely in time.
     RequestTimeout,
+    /// The head of the request exceeds the limit.
+    HeadTooLong,
 }
 
 /// The phase of a client connection.
@@ -67,8 +69,10 @@
     pub(super) closing_since: Cell<Option<Instant>>,
     /// Bytes received in the current phase, of a body or while draining.
     pub(super) phase_bytes: Cell<usize>,
-    /// Bytes received while a request was being processed; they are read first afterwards.
-    pub(super) read_ahead: RefCell<BytesMut>,
+    /// Frames the requests and holds what was received ahead of the current one.
+    pub(super) framer: RefCell<RequestFramer>,
+    /// The next request is read once the client has accepted the response to the last one.
+    pub(super) read_waits_for_write: Cell<bool>,
     /// More was received than may be buffered, so that what follows can't be parsed any more.
     pub(super) read_ahead_full: Cell<bool>,
     /// Bytes discarded since the last sweep.
@@ -92,7 +96,8 @@
             phase_since: Cell::new(Instant::now()),
             closing_since: Cell::default(),
             phase_bytes: Cell::default(),
-            read_ahead: RefCell::default(),
+            framer: RefCell::default(),
+            read_waits_for_write: Cell::default(),
             read_ahead_full: Cell::default(),
             discarded: Cell::default(),
             termination: Cell::default(),
@@ -108,10 +113,43 @@
         self.phase_bytes.set(0);
         self.closing_since.set(None);
         self.streams_body.set(false);
-        if self.phase.replace(phase) == Phase::Processing {
-            // Nothing was read for actix-http meanwhile.
+        let before = self.phase.replace(phase);
+        if phase == Phase::Idle {
+            self.framer.borrow_mut().expect_request();
+        }
+        // Nothing was read for actix-http meanwhile.
+        if before == Phase::Processing || matches!(phase, Phase::Idle | Phase::Draining) {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Part of the body of the request was consumed, so that more may be read.
+    pub(super) fn body_consumed(&self, bytes: usize) {
+        let mut framer = self.framer.borrow_mut();
+        if framer.is_window_closed() {
             self.wake.notify_one();
         }
+        framer.body_consumed(bytes);
+    }
+
+    /// Whether all bytes of the current request have been received.
+    pub(super) fn request_received(&self) -> bool {
+        self.framer.borrow().is_complete()
+    }
+
+    /// Whether the start of a request was received, which can't be parsed yet.
+    pub(super) fn has_partial_head(&self) -> bool {
+        let framer = self.framer.borrow();
+        !framer.is_complete() && framer.unframed_bytes() > 0
+    }
+
+    /// Whether all of the current request has been received, so that what follows belongs to the next one.
+    fn reads_ahead(&self) -> bool {
+        match self.phase.get() {
+            Phase::Processing => true,
+            Phase::ReadingBody => self.request_received(),
+            Phase::Connected | Phase::ReadingHead | Phase::Idle | Phase::Draining => false,
+        }
     }
 
     /// Completes when the connection has to be terminated. While a request is being processed, all input is read
@@ -119,7 +157,7 @@
     pub(super) fn poll_termination(&self, stream: &TcpStream, cx: &mut Context<'_>) -> Poll<Termination> {
         let mut received = [0; 4096];
         while self.termination.get().is_none()
-            && self.phase.get() == Phase::Processing
+            && self.reads_ahead()
             && self.discarded.get() < MAX_DISCARDED_BYTES
         {
             let read = match stream.poll_read_ready(cx) {
@@ -130,12 +168,14 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Ok(0) | Err(_) => self.termination.set(Some(Termination::ClientLeft)),
                 Ok(n) => {
-                    let mut read_ahead = self.read_ahead.borrow_mut();
-                    if self.read_ahead_full.get() || read_ahead.len() + n > MAX_BUFFERED_BYTES {
+                    let mut framer = self.framer.borrow_mut();
+                    let held = framer.unframed_bytes() + n;
+                    let fits = held <= MAX_BUFFERED_BYTES;
+                    if self.read_ahead_full.get() || !fits {
                         self.read_ahead_full.set(true);
                         self.discarded.set(self.discarded.get() + n);
                     } else {
-                        read_ahead.extend_from_slice(&received[..n]);
+                        framer.input_buffer().extend_from_slice(&received[..n]);
                     }
                 }
             }
--- a/crates/http/src/front/streaming.rs
+++ b/crates/http/src/front/streaming.rs
@@ -23,6 +23,9 @@
     let parts = stream::unfold((payload, state), |(mut payload, state)| async move {
         let chunk = timeout(UPLOAD_STALL_TIMEOUT, payload.next()).await;
         let chunk = chunk.unwrap_or_else(|_| Some(Err(PayloadError::Incomplete(None))));
+        if let (Some(Ok(bytes)), Some(state)) = (&chunk, &state) {
+            state.body_consumed(bytes.len());
+        }
         if chunk.is_none()
             && let Some(state) = state.as_ref().filter(|state| state.phase.get() == Phase::ReadingBody)
         {
--- a/crates/http/src/line/server_io.rs
+++ b/crates/http/src/line/server_io.rs
@@ -1,7 +1,7 @@
 //! The socket of a server connection, as awc reads and writes it.
 
 use super::{ConnectionState, NotSentError, SendGate};
-use crate::frame::{InvalidResponse, ResponseFramer};
+use crate::frame::{InvalidMessage, ResponseFramer};
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use dunlincleat_status::Metrics;
 use std::future::Future;
@@ -44,7 +44,7 @@
 }
 
 impl ServerIo {
-    fn fail_invalid(&self, invalid: InvalidResponse) -> Poll<io::Result<()>> {
+    fn fail_invalid(&self, invalid: InvalidMessage) -> Poll<io::Result<()>> {
         self.state.invalid.set(Some(invalid));
         Poll::Ready(Err(io::Error::other(invalid)))
     }
@@ -62,7 +62,7 @@
             timer.as_mut().reset(due);
         }
         ready!(timer.as_mut().poll(cx));
-        self.fail_invalid(InvalidResponse("the response stalled"))
+        self.fail_invalid(InvalidMessage("the response stalled"))
     }
 
     /// Fails a request whose server stops reading the body while the client still sends it: no deadline runs before
--- a/crates/http/src/line/state.rs
+++ b/crates/http/src/line/state.rs
@@ -1,6 +1,6 @@
 //! The state of a server connection, as seen from outside awc.
 
-use crate::frame::InvalidResponse;
+use crate::frame::InvalidMessage;
 use crate::write_progress::WriteProgress;
 use actix_rt::net::TcpStream;
 use dunlincleat::api::Status;
@@ -23,7 +23,7 @@
     /// The response has been received completely.
     pub(super) response_complete: Cell<bool>,
     /// Why the response is invalid.
-    pub(super) invalid: Cell<Option<InvalidResponse>>,
+    pub(super) invalid: Cell<Option<InvalidMessage>>,
     /// The response is being streamed, which allows longer stalls.
     pub(super) streaming: Cell<bool>,
     /// The current request was withdrawn before it started.
@@ -76,7 +76,7 @@
     }
 
     /// Why the response is invalid, if it is.
-    pub fn invalid_response(&self) -> Option<InvalidResponse> {
+    pub fn invalid_response(&self) -> Option<InvalidMessage> {
         self.invalid.get()
     }
 
