Memory for bodies being received and bytes ahead is bounded; memory is logged and told

Cause: the limit on open requests, which the memory limit derives, is asked once a body has been received.

Change: MemoryBudget, an eighth of the memory limit, counts bodies that are being received, bytes received ahead and responses that clients don't accept, each beyond 4 KiB a connection. A body that finds no room is answered 503 before anything of it is sent on; bytes ahead without room are not held, as those over 64 KiB before; while responses alone exceed the budget, requests are refused. Small requests always find room otherwise.

--- a/crates/hollow/src/sidecar.rs
+++ b/crates/hollow/src/sidecar.rs
@@ -95,6 +95,8 @@
             Timing::derive(Span(2_000_000), Span(6_000_000), settings.drain_grace.unwrap_or_default());
         let own = HttpOptions {
             max_body_bytes: 64 << 10,
+            memory_limit_bytes: usize::MAX,
+            max_client_memory_bytes: 0,
             max_client_connections: 0,
             client_request_timeout: ms(2600),
             client_idle_timeout: ms(3000),
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -2,6 +2,8 @@
 
 mod client_io;
 mod clients;
+mod memory;
+mod memory_report;
 mod receiving;
 mod streaming;
 
@@ -25,6 +27,8 @@
 use dunlincleat_status::lifecycle;
 use dunlincleat_status::metrics::{ClassOutcomes, InProgress};
 use dunlincleat_status::{Lifecycle, LogLimiter, Metrics, Stage, log_limited};
+use memory::MemoryBudget;
+use memory_report::report_memory;
 use receiving::receive_body;
 use rustc_hash::FxHashSet;
 use std::cell::{Cell, RefCell};
@@ -145,6 +149,7 @@
         options: options.clone(),
         connections: RefCell::default(),
         next_id: Cell::new(0),
+        memory: MemoryBudget::new(options.max_client_memory_bytes),
         accepting: Cell::new(true),
     });
     let front = Rc::new(Front {
@@ -179,6 +184,7 @@
         .map_err(|()| anyhow!("cannot build the HTTP service"))?;
     let service = Rc::new(service);
     let sweeper = actix_rt::spawn(sweep(clients.clone(), connections.clone(), lifecycle.clone()));
+    let memory_reporter = actix_rt::spawn(report_memory(clients.clone(), front.metrics.clone()));
     let address = listener.local_addr()?;
     lifecycle.apply(lifecycle::Event::Ready);
     tracing::info!("listening on {address}");
@@ -211,6 +217,7 @@
     clients.accepting.set(false);
     let _all = connections.acquire_many(limit as u32).await?;
     sweeper.abort();
+    memory_reporter.abort();
     Ok(())
 }
 
@@ -250,7 +257,9 @@
     // Also drops the handler of its request, which notifies the engine.
     drop(connection);
     match termination {
-        Termination::ClientLeft => {}
+        Termination::ClientLeft => {
+            tracing::debug!("client connection closed: the client left or reads nothing")
+        }
         Termination::RequestTimeout => {
             log_limited!(front.malformed_log, info, "request not taken: not received completely in time");
             let _ = timeout(REJECTED_CLIENT_CLOSE_TIMEOUT, reject(&stream, REQUEST_TIMEOUT_RESPONSE)).await;
@@ -338,6 +347,8 @@
             Err(malformed) => {
                 if malformed.counts_as_failed {
                     outcomes.failed.increment();
+                } else if malformed.status == StatusCode::SERVICE_UNAVAILABLE {
+                    outcomes.refused.increment();
                 }
                 let line = format!("request not taken: {} ({})", malformed.reason, malformed.status.as_u16());
                 log_limited!(front.malformed_log, info, line);
@@ -400,7 +411,11 @@
         }
         let mut payload = request.take_payload();
         let limit = self.options.max_body_bytes;
-        let body = receive_body(&mut payload, state, limit).await?;
+        let body = receive_body(&mut payload, state, limit, &self.clients.memory).await?;
+        if self.clients.memory.is_exhausted() {
+            log_limited!(self.limit_log, warn, "request refused: no memory, as clients read no responses");
+            return Ok(Answer::Refused { retry_after: None });
+        }
         let Ok(permit) = self.request_permits.clone().try_acquire_owned() else {
             log_limited!(self.limit_log, warn, "request refused: open request limit reached");
             return Ok(Answer::Refused { retry_after: None });
--- a/crates/http/src/front/client_io.rs
+++ b/crates/http/src/front/client_io.rs
@@ -53,6 +53,7 @@
     /// Reads what a client still sends whose connection is about to close; nobody parses it.
     fn read_discarded(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let unframed = self.state.framer.borrow_mut().take_unframed();
+        self.state.read_ahead_memory.set(0);
         if !unframed.is_empty() {
             buf.put_slice(&unframed[..unframed.len().min(buf.remaining())]);
             return Poll::Ready(Ok(()));
@@ -137,12 +138,14 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let state = &self.state;
         state.write_blocked.set(true);
+        state.unsent_memory.set(buf.len());
         loop {
             ready!(self.stream.poll_write_ready(cx))?;
             match self.stream.try_write(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => {
                     let unsent = result.as_ref().map_or(0, |count| buf.len() - count);
+                    state.unsent_memory.set(unsent);
                     state.write_blocked.set(unsent > 0);
                     if unsent == 0 && state.read_waits_for_write.take() {
                         state.wake.notify_one();
--- a/crates/http/src/front/clients.rs
+++ b/crates/http/src/front/clients.rs
@@ -1,5 +1,6 @@
 //! Client connections: their phases, deadlines and eviction.
 
+use super::memory::{MemoryBudget, MemoryShare};
 use crate::frame::request::RequestFramer;
 use crate::options::HttpOptions;
 use actix_rt::net::TcpStream;
@@ -71,6 +72,10 @@
     pub(super) phase_bytes: Cell<usize>,
     /// Frames the requests and holds what was received ahead of the current one.
     pub(super) framer: RefCell<RequestFramer>,
+    /// The memory of what was received while a request was being processed.
+    pub(super) read_ahead_memory: MemoryShare,
+    /// The memory of the part of a response that the client has not accepted.
+    pub(super) unsent_memory: MemoryShare,
     /// The next request is read once the client has accepted the response to the last one.
     pub(super) read_waits_for_write: Cell<bool>,
     /// More was received than may be buffered, so that what follows can't be parsed any more.
@@ -90,13 +95,15 @@
 }
 
 impl ClientConnection {
-    pub(super) fn new(over_limit: bool) -> ClientConnection {
+    pub(super) fn new(over_limit: bool, memory: &Rc<MemoryBudget>) -> ClientConnection {
         ClientConnection {
             phase: Cell::new(Phase::Connected),
             phase_since: Cell::new(Instant::now()),
             closing_since: Cell::default(),
             phase_bytes: Cell::default(),
             framer: RefCell::default(),
+            read_ahead_memory: memory.share(),
+            unsent_memory: memory.share(),
             read_waits_for_write: Cell::default(),
             read_ahead_full: Cell::default(),
             discarded: Cell::default(),
@@ -117,6 +124,7 @@
         if phase == Phase::Idle {
             self.framer.borrow_mut().expect_request();
         }
+        self.read_ahead_memory.set(self.framer.borrow().unframed_bytes());
         // Nothing was read for actix-http meanwhile.
         if before == Phase::Processing || matches!(phase, Phase::Idle | Phase::Draining) {
             self.wake.notify_one();
@@ -170,7 +178,8 @@
                 Ok(n) => {
                     let mut framer = self.framer.borrow_mut();
                     let held = framer.unframed_bytes() + n;
-                    let fits = held <= MAX_BUFFERED_BYTES;
+                    self.read_ahead_memory.set(framer.unframed_bytes());
+                    let fits = held <= MAX_BUFFERED_BYTES && self.read_ahead_memory.try_add(n);
                     if self.read_ahead_full.get() || !fits {
                         self.read_ahead_full.set(true);
                         self.discarded.set(self.discarded.get() + n);
@@ -256,6 +265,8 @@
     pub(super) options: Rc<HttpOptions>,
     pub(super) connections: RefCell<FxHashMap<u64, Rc<ClientConnection>>>,
     pub(super) next_id: Cell<u64>,
+    /// The memory held for all of them.
+    pub(super) memory: Rc<MemoryBudget>,
     /// New connections are still accepted, so that eviction serves a purpose.
     pub(super) accepting: Cell<bool>,
 }
@@ -267,12 +278,17 @@
         let open =
             self.connections.borrow().values().filter(|state| state.closing_since.get().is_none()).count();
         let over_limit = open >= self.options.client_connection_limit() && !self.evict_one(Instant::now());
-        let state = Rc::new(ClientConnection::new(over_limit));
+        let state = Rc::new(ClientConnection::new(over_limit, &self.memory));
         let number = self.next_id.replace(self.next_id.get() + 1);
         self.connections.borrow_mut().insert(number, state.clone());
         ClientSlot { clients: self.clone(), number, state, _permit: permit }
     }
 
+    /// The number of connections.
+    pub(super) fn count(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
     /// Whether three quarters of the connection limit are in use.
     pub(super) fn is_crowded(&self) -> bool {
         4 * self.connections.borrow().len() >= 3 * self.options.client_connection_limit().max(4)
--- /dev/null
+++ b/crates/http/src/front/memory_report.rs
@@ -0,0 +1,41 @@
+//! Reports the memory of the process: as metrics, in a log line, and by a warning before the limit is reached.
+
+use super::clients::Clients;
+use dunlincleat_status::{LogLimiter, Metrics, ResidentMemory, log_limited};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Interval between readings.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of readings between log lines.
+const READINGS_PER_LOG_LINE: u32 = 10;
+
+/// Reports until it is aborted.
+pub(super) async fn report_memory(clients: Rc<Clients>, metrics: Arc<Metrics>) {
+    let limit = clients.options.memory_limit_bytes;
+    let warning = LogLimiter::default();
+    for reading in 1_u32.. {
+        sleep(READ_INTERVAL).await;
+        metrics.client_bytes.set(clients.memory.used());
+        let Some(memory) = ResidentMemory::read() else { continue };
+        metrics.resident_bytes.set(memory.current);
+        let line = memory_line(memory, &clients);
+        if memory.current > limit / 4 * 3 {
+            log_limited!(warning, warn, format!("over three quarters of the memory limit: {line}"));
+        } else if reading % READINGS_PER_LOG_LINE == 0 && clients.count() > 0 {
+            tracing::info!("{line}");
+        }
+    }
+}
+
+fn memory_line(memory: ResidentMemory, clients: &Clients) -> String {
+    format!(
+        "memory: {} KiB resident, {} KiB at the peak; {} KiB held for {} client connections",
+        memory.current >> 10,
+        memory.peak >> 10,
+        clients.memory.used() >> 10,
+        clients.count()
+    )
+}
--- a/crates/http/src/options.rs
+++ b/crates/http/src/options.rs
@@ -21,6 +21,10 @@
     pub max_server_connections: usize,
     /// Maximum number of open requests.
     pub max_requests: usize,
+    /// The memory limit of the process, in bytes.
+    pub memory_limit_bytes: usize,
+    /// Maximum memory held for clients beside open requests, in bytes.
+    pub max_client_memory_bytes: usize,
     /// Time after which an idle server connection is closed.
     pub server_idle_timeout: Duration,
     /// Timeout for connecting to a server.
--- a/crates/sidecar/src/config/section.rs
+++ b/crates/sidecar/src/config/section.rs
@@ -18,6 +18,9 @@
 const RESERVED_DESCRIPTORS: usize = 40;
 /// Maximum total length of the service names in bytes: they are sent in the head of each discovery call.
 const MAX_SERVICE_NAME_BYTES: usize = 16 << 10;
+/// The part of the memory limit for what is held for clients beside open requests: bodies that are being received, bytes
+/// received ahead and responses that are not read.
+const CLIENT_MEMORY_DIVISOR: usize = 8;
 
 /// The object `limits` of the configuration.
 #[derive(Deserialize)]
@@ -85,11 +88,15 @@
         };
         let body_bytes = section.number("body_bytes", 64 * 1024, 1)?;
         // Half of the memory is for bodies: those of a request and its response, each held a second time in a buffer.
-        let requests_in_memory = ((limits.memory_mb << 20) / 2 / (4 * body_bytes)).max(1);
+        let requests_in_memory = (limits.memory_mb.saturating_mul(1 << 20) / 2 / (4 * body_bytes)).max(1);
+        let memory_limit_bytes =
+            usize::try_from(limits.memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20);
         let requests = settings.max_open.unwrap_or(u64::MAX).min(half).min(requests_in_memory);
         let options = HttpOptions {
             max_body_bytes: body_bytes as usize,
             max_requests: section.number("requests", requests, 1)? as usize,
+            memory_limit_bytes,
+            max_client_memory_bytes: memory_limit_bytes / CLIENT_MEMORY_DIVISOR,
             max_client_connections: client_connections,
             client_request_timeout: section.duration("client_request_ms", 2600, 1)?,
             client_idle_timeout: section.duration("client_idle_ms", 3000, 2000)?,
--- a/crates/sidecar/src/logger.rs
+++ b/crates/sidecar/src/logger.rs
@@ -56,9 +56,21 @@
     // Fails only if a subscriber is installed already, which then does the logging.
     if tracing::subscriber::set_global_default(subscriber).is_ok() {
         let _ = FILTER_HANDLE.set(handle);
+        log_panics();
     }
 }
 
+/// Adds a log line to the usual report of a panic, which has neither time nor level.
+fn log_panics() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        let thread = std::thread::current();
+        let description = panic.to_string().replace('\n', " ");
+        tracing::error!("thread {} {description}", thread.name().unwrap_or("without a name"));
+    }));
+}
+
 /// Changes the minimum level.
 pub fn set_level(level: LevelFilter) {
     if let Some(handle) = FILTER_HANDLE.get() {
--- a/crates/sidecar/tests/descriptors.rs
+++ b/crates/sidecar/tests/descriptors.rs
@@ -189,7 +189,8 @@
         gate.send(()).unwrap();
         assert_eq!(held.read_response().text(), "in hand");
         let _ = kept.stream.write_all(read_request("kept1").as_bytes());
-        assert!(kept.read_response_or_close().is_none_or(|answer| answer.text() == "new"));
+        let answer = kept.read_response_or_close();
+        assert!(answer.as_ref().is_none_or(|answer| answer.text() == "new"), "{answer:?}");
         assert_eq!(wait_until_served(&sidecar, "after"), "new");
         check_limits();
     });
--- a/crates/sidecar/tests/memory.rs
+++ b/crates/sidecar/tests/memory.rs
@@ -70,3 +70,38 @@
     assert_within_memory_limit(&sidecar);
     assert_eq!(sidecar.request(&read_request("after")).status(), 200);
 }
+
+/// Clients that send long bodies at the same time, within the limit of client connections.
+const UPLOADING_CLIENTS: usize = 230;
+/// Bodies that each of them sends in a row.
+const UPLOADS: usize = 4;
+/// The largest body that is buffered.
+const BUFFERED_BODY_BYTES: usize = 64 * 1024;
+
+/// Guards against a process killed for its memory: bodies that were being received, and bytes behind them, were bounded
+/// by the number of connections alone.
+#[test]
+fn bodies_of_a_crowd_do_not_exceed_the_memory_limit() {
+    let server = FakeServer::start(|_, _| ok("x"));
+    let sidecar = setup(&server).start();
+    let body = "x".repeat(BUFFERED_BODY_BYTES);
+    thread::scope(|scope| {
+        for client in 0..UPLOADING_CLIENTS {
+            let (stream, body) = (sidecar.connect().stream, &body);
+            scope.spawn(move || {
+                let uploads: String = (0..UPLOADS)
+                    .map(|number| {
+                        let close = if number + 1 == UPLOADS { "Connection: close\r\n" } else { "" };
+                        let rest = format!("{close}Content-Length: {}\r\n\r\n{body}", body.len());
+                        pay_request(&format!("c{client}-{number}"))
+                            .replace("Content-Length: 4\r\n\r\nbody", &rest)
+                    })
+                    .collect();
+                let responses = exchange(stream, uploads.as_bytes());
+                assert!(responses.starts_with("HTTP/1.1 "), "{responses}");
+            });
+        }
+    });
+    assert_within_memory_limit(&sidecar);
+    assert_eq!(sidecar.request(&read_request("after")).status(), 200);
+}
--- a/crates/status/src/metrics.rs
+++ b/crates/status/src/metrics.rs
@@ -62,6 +62,10 @@
     pub known_servers: Gauge,
     /// Listed servers that currently receive no new requests.
     pub skipped_servers: Gauge,
+    /// Resident memory of the process, in bytes.
+    pub resident_bytes: Gauge,
+    /// Memory held for clients beside open requests, in bytes.
+    pub client_bytes: Gauge,
     /// Configurations applied at SIGHUP.
     pub reloads: Counter,
     /// Configurations rejected at SIGHUP.
@@ -120,6 +124,8 @@
         line("in_progress", None, self.in_progress.load(Ordering::Relaxed).max(0).to_string());
         line("known_endpoints", None, self.known_servers.get().to_string());
         line("skipped_endpoints", None, self.skipped_servers.get().to_string());
+        line("resident_bytes", None, self.resident_bytes.get().to_string());
+        line("client_bytes", None, self.client_bytes.get().to_string());
         line("loads", None, self.reloads.get().to_string());
         line("load_errors", None, self.reload_errors.get().to_string());
         text
--- /dev/null
+++ b/crates/status/src/resident_memory/tests.rs
@@ -0,0 +1,11 @@
+//! Tests of `resident_memory.rs`.
+
+use super::*;
+
+#[test]
+fn both_figures_are_read_from_the_status_of_a_process() {
+    let status = "Name:\tx\nVmHWM:\t    9216 kB\nVmRSS:\t    8192 kB\n";
+    assert_eq!(ResidentMemory::parse(status), Some(ResidentMemory { current: 8 << 20, peak: 9 << 20 }));
+    assert_eq!(ResidentMemory::parse("VmRSS:\t8192 kB\n"), None);
+    assert!(ResidentMemory::read().is_some_and(|memory| memory.current > 0 && memory.peak > 0));
+}
