A streamed response keeps its place among the open requests until it has ended

Cause: the place of a request in the limit of open requests, which the memory limit derives, was given back when its response began to be streamed, while the response's buffers stay until it ends. Only the number of client connections bounded them.

Change: the place goes from the handler to the ResponseGuard, which has the same life as the buffers.

--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -323,7 +323,8 @@
     let over_limit = state.as_ref().is_some_and(|state| state.over_limit);
     // The connection of a rejected client is closed: requests that it has pipelined are not worth further work.
     let mut rejected = false;
-    let mut streams = false;
+    // The place of a streamed response in the limit of open requests, as it is held until the response ends.
+    let mut streamed = None;
     // Looked up under the settings at arrival: a reload may remove the class before the request ends.
     let outcomes = front.outcomes(request.path());
     let mut response = if request.method() == Method::GET && request.path() == HEALTH_PATH {
@@ -334,10 +335,12 @@
         encode_answer(Answer::Refused { retry_after: None })
     } else {
         match front.accept_request(&mut request, state.as_ref()).await {
-            Ok(answer) => {
+            Ok((answer, permit)) => {
                 match &answer {
                     // Counted by the `ResponseGuard` when the response ends.
-                    Answer::Served(ResponseBody { data: BodyData::Streaming { .. }, .. }) => streams = true,
+                    Answer::Served(ResponseBody { data: BodyData::Streaming { .. }, .. }) => {
+                        streamed = permit
+                    }
                     Answer::Served(_) => outcomes.served.increment(),
                     Answer::Refused { .. } => outcomes.refused.increment(),
                     Answer::Failed => outcomes.failed.increment(),
@@ -370,9 +373,15 @@
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
     }
     let next_phase = if close { Phase::Draining } else { Phase::Idle };
-    if streams {
-        let counted = front.metrics.request_started();
-        let guard = ResponseGuard { state, next_phase, outcomes, complete: false, _counted: counted };
+    if let Some(permit) = streamed {
+        let guard = ResponseGuard {
+            state,
+            next_phase,
+            outcomes,
+            complete: false,
+            _counted: front.metrics.request_started(),
+            _permit: permit,
+        };
         return Ok(response.map_body(|_, body| BoxBody::new(CountedBody { body, guard })));
     }
     if let Some(state) = state {
@@ -397,12 +406,13 @@
         class.cloned().unwrap_or_default()
     }
 
-    /// Receives a request, submits it to the engine and waits for the answer.
+    /// Receives a request, submits it to the engine and waits for the answer, which comes with the place of the request
+    /// in the limit of open requests, where it got one.
     async fn accept_request(
         &self,
         request: &mut actix_http::Request,
         state: Option<&Rc<ClientConnection>>,
-    ) -> Result<Answer, Malformed> {
+    ) -> Result<(Answer, Option<OwnedSemaphorePermit>), Malformed> {
         let active = self.active.borrow().clone();
         let decoded = Request::decode(request.head(), &active.site, active.rules.as_deref())?;
         let length = Request::content_length(request.head());
@@ -414,11 +424,11 @@
         let body = receive_body(&mut payload, state, limit, &self.clients.memory).await?;
         if self.clients.memory.is_exhausted() {
             log_limited!(self.limit_log, warn, "request refused: no memory, as clients read no responses");
-            return Ok(Answer::Refused { retry_after: None });
+            return Ok((Answer::Refused { retry_after: None }, None));
         }
         let Ok(permit) = self.request_permits.clone().try_acquire_owned() else {
             log_limited!(self.limit_log, warn, "request refused: open request limit reached");
-            return Ok(Answer::Refused { retry_after: None });
+            return Ok((Answer::Refused { retry_after: None }, None));
         };
         // Sending a duplicate of an open request would execute it twice, whichever client sent it.
         if !self.ids_in_use.borrow_mut().insert(decoded.id.clone()) {
@@ -435,7 +445,6 @@
             client_id: decoded.id.clone(),
             front: self,
             answered: false,
-            _permit: permit,
             _counted: self.metrics.request_started(),
         };
         // A body up to the size limit is buffered, so that it can be sent again. The rest of a larger one is streamed
@@ -462,13 +471,14 @@
             answer = answer => answer,
             // The process exits: failing is always a correct answer, as it promises nothing, and no request is left
             // without one.
-            _ = stage.wait_for(|stage| *stage == Stage::Aborting) => return Ok(Answer::Failed),
+            _ = stage.wait_for(|stage| *stage == Stage::Aborting) => return Ok((Answer::Failed, Some(permit))),
         };
         open.answered = true;
-        Ok(answer.unwrap_or_else(|_| {
+        let answer = answer.unwrap_or_else(|_| {
             tracing::error!("the engine dropped a request without an answer");
             Answer::Failed
-        }))
+        });
+        Ok((answer, Some(permit)))
     }
 }
 
@@ -480,7 +490,6 @@
     client_id: HeaderValue,
     front: &'a Front,
     answered: bool,
-    _permit: OwnedSemaphorePermit,
     _counted: InProgress,
 }
 
--- a/crates/http/src/front/streaming.rs
+++ b/crates/http/src/front/streaming.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::timeout;
 
 /// Time without progress after which a client is considered gone while its body is streamed to a server.
@@ -63,6 +64,8 @@
     pub(super) outcomes: Arc<ClassOutcomes>,
     pub(super) complete: bool,
     pub(super) _counted: InProgress,
+    /// The place of its request in the limit of open requests: the buffers of the response are held as long.
+    pub(super) _permit: OwnedSemaphorePermit,
 }
 
 impl Drop for ResponseGuard {
--- a/crates/sidecar/tests/memory.rs
+++ b/crates/sidecar/tests/memory.rs
@@ -5,8 +5,11 @@
 use common::*;
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// The configured memory limit in MiB.
 const MEMORY_LIMIT_MIB: usize = 48;
@@ -105,3 +108,95 @@
     assert_within_memory_limit(&sidecar);
     assert_eq!(sidecar.request(&read_request("after")).status(), 200);
 }
+
+/// Clients that read no response, within the limit of client connections.
+const SILENT_READERS: usize = 400;
+/// Receive buffer of such a client, in bytes.
+const SMALL_RECEIVE_BUFFER: usize = 2048;
+/// Time without a byte after which all buffers between a server and its client are taken to be full.
+const NO_PROGRESS: Duration = Duration::from_millis(300);
+
+/// A server whose responses never end, and the bytes that it has written.
+struct EndlessServer {
+    address: SocketAddr,
+    written: Arc<AtomicUsize>,
+}
+
+impl EndlessServer {
+    fn start() -> EndlessServer {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let server = EndlessServer { address: listener.local_addr().unwrap(), written: Arc::default() };
+        let written = server.written.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let written = written.clone();
+                thread::spawn(move || write_endless_response(stream, &written));
+            }
+        });
+        server
+    }
+
+    /// Waits until nothing more is written.
+    fn wait_until_blocked(&self) {
+        let give_up_at = Instant::now() + WAIT_TIMEOUT;
+        let mut last = (self.written.load(Ordering::SeqCst), Instant::now());
+        while last.0 == 0 || last.1.elapsed() < NO_PROGRESS {
+            assert!(Instant::now() < give_up_at, "the server is never blocked");
+            let written = self.written.load(Ordering::SeqCst);
+            if written != last.0 {
+                last = (written, Instant::now());
+            }
+            thread::yield_now();
+        }
+    }
+}
+
+fn write_endless_response(mut stream: TcpStream, written: &AtomicUsize) {
+    if stream.read(&mut [0; 4096]).is_err() || stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").is_err() {
+        return;
+    }
+    while let Ok(count) = stream.write(&[b'x'; 1 << 16]) {
+        written.fetch_add(count, Ordering::SeqCst);
+    }
+}
+
+/// Sends a request from a connection with a small receive buffer, and waits for the start of its response.
+fn send_without_reading(sidecar: &Sidecar, number: usize) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap();
+    socket.connect(&sidecar.listen.into()).unwrap();
+    let mut stream = TcpStream::from(socket);
+    stream.write_all(read_request(&format!("r{number}")).as_bytes()).unwrap();
+    stream.read_exact(&mut [0]).unwrap();
+    stream
+}
+
+/// Guards against a process killed for its memory: a streamed response was not counted as an open request any more, so
+/// that only the number of connections bounded the buffers of those that nobody reads.
+#[test]
+fn streamed_responses_that_nobody_reads_do_not_exceed_the_memory_limit() {
+    let server = EndlessServer::start();
+    let known = vec![entry("s1", server.address, "up")];
+    let sidecar = Setup::new(known)
+        .set("/limits/memory_mb", json!(MEMORY_LIMIT_MIB))
+        .set("/limits/sockets", json!(1024))
+        .set("/sidecar/log", json!("info"))
+        .start();
+    let clients: Vec<TcpStream> =
+        (0..SILENT_READERS).map(|number| send_without_reading(&sidecar, number)).collect();
+    server.wait_until_blocked();
+    assert_within_memory_limit(&sidecar);
+    drop(clients);
+    // The places of the responses are given back with their connections.
+    let give_up_at = Instant::now() + WAIT_TIMEOUT;
+    loop {
+        let mut client = sidecar.connect();
+        client.send(&read_request("after"));
+        let mut status = [0; 12];
+        client.stream.read_exact(&mut status).unwrap();
+        if status == *b"HTTP/1.1 200" {
+            break;
+        }
+        assert!(Instant::now() < give_up_at, "{}", String::from_utf8_lossy(&status));
+    }
+}
