A message of discovery has at most 65,536 entries

Found while looking for the same mistake in related code.

Cause: the length of a message is bounded, its entries are not: each invalid one gets an error text, and a place in a list before.

Change: entries are collected up to 65,536; a message with more is garbled, so that its watch ends and the whole list is asked for.

The test fails without the bound, as the message is taken then (by reading: the constant is new).

--- a/crates/directory/src/entry.rs
+++ b/crates/directory/src/entry.rs
@@ -2,9 +2,11 @@
 
 use anyhow::{Context, Result};
 use dunlincleat::api::State;
-use serde::{Deserialize, Serialize};
+use serde::de::{Error as _, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::Value;
 use serde_json::value::RawValue;
+use std::fmt::{self, Formatter};
 use std::net::SocketAddr;
 
 /// A full list of servers, or changes to one.
@@ -47,10 +49,40 @@
     rev: u64,
     #[serde(default)]
     all: bool,
-    #[serde(borrow)]
+    #[serde(borrow, deserialize_with = "bounded_targets")]
     targets: Vec<&'a RawValue>,
 }
 
+/// Maximum number of entries of a message. Tiny invalid ones would otherwise take over twenty times the memory of the
+/// message, and seconds to report.
+pub const MAX_ENTRIES: usize = 1 << 16;
+
+fn bounded_targets<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<&'de RawValue>, D::Error> {
+    deserializer.deserialize_seq(BoundedTargets)
+}
+
+/// Collects the entries of a message up to the limit.
+struct BoundedTargets;
+
+impl<'de> Visitor<'de> for BoundedTargets {
+    type Value = Vec<&'de RawValue>;
+
+    fn expecting(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "a list of up to {MAX_ENTRIES} targets")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut targets: A) -> Result<Self::Value, A::Error> {
+        let mut collected = Vec::new();
+        while let Some(target) = targets.next_element()? {
+            if collected.len() == MAX_ENTRIES {
+                return Err(A::Error::invalid_length(MAX_ENTRIES + 1, &self));
+            }
+            collected.push(target);
+        }
+        Ok(collected)
+    }
+}
+
 #[derive(Deserialize, Serialize)]
 struct RawEntry {
     uid: String,
@@ -82,7 +114,7 @@
     ///
     /// # Errors
     ///
-    /// The message is not a JSON object with a list of targets.
+    /// The message is not a JSON object with a list of up to [`MAX_ENTRIES`] targets.
     pub fn decode(line: &[u8]) -> Result<Listing> {
         let raw: RawListing<'_> = serde_json::from_slice(line)?;
         let mut listing = Listing { rev: raw.rev, whole: raw.all, ..Listing::default() };
--- a/crates/directory/tests/words.rs
+++ b/crates/directory/tests/words.rs
@@ -1,6 +1,7 @@
 //! How the server table handles irregular updates, as specified in docs/list.md.
 
 use dunlincleat::api::{ListKind, State, Time};
+use dunlincleat_directory::entry::MAX_ENTRIES;
 use dunlincleat_directory::{Anomaly, Delivery, Interest, Listing, ServerTable, Snapshot};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -173,3 +174,11 @@
         assert!(Snapshot::decode(&damaged).is_err(), "changed at {at}");
     }
 }
+
+/// Guards against a process killed for its memory, and held up for seconds: a message of 4 MiB had two million entries.
+#[test]
+fn message_with_too_many_entries_is_an_error() {
+    let message = |entries: usize| format!(r#"{{"rev":2,"targets":[0{}]}}"#, ",0".repeat(entries - 1));
+    assert!(Listing::decode(message(MAX_ENTRIES).as_bytes()).is_ok());
+    assert!(Listing::decode(message(MAX_ENTRIES + 1).as_bytes()).is_err());
+}
