--- a/crates/sidecar/tests/clients.rs
+++ b/crates/sidecar/tests/clients.rs
@@ -72,6 +72,23 @@
     );
 }
 
+/// Guards the bound on what a client makes the process hold of a request that is not complete.
+#[test]
+fn head_over_16_kib_is_answered_431() {
+    let server = FakeServer::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
+    let with_cookie = |bytes: usize| {
+        read_request("r1").replace("\r\n\r\n", &format!("\r\nCookie: {}\r\n\r\n", "x".repeat(bytes)))
+    };
+    assert_eq!(sidecar.request(&with_cookie(15 << 10)).status(), 200);
+    let mut client = sidecar.connect();
+    client.send(&with_cookie(120 << 10));
+    let answer = client.read_response();
+    assert_eq!((answer.status(), answer.header("connection")), (431, Some("close")));
+    client.wait_for_close();
+    assert_eq!(server.request_count(), 1);
+}
+
 #[test]
 fn incomplete_requests_time_out() {
     let server = FakeServer::start(|_, _| ok("x"));
