--- a/crates/http/src/frame/request.rs
+++ b/crates/http/src/frame/request.rs
@@ -31,60 +31,62 @@
 
 /// Frames the requests of one connection.
 #[derive(Debug)]
-pub struct RequestFramer(Framing);
+pub struct RequestFramer {
+    framing: Framing,
+}
 
 impl Default for RequestFramer {
     fn default() -> RequestFramer {
-        RequestFramer(Framing::new(State::Head, BODY_WINDOW_BYTES))
+        RequestFramer { framing: Framing::new(State::Head, BODY_WINDOW_BYTES) }
     }
 }
 
 impl RequestFramer {
     /// Expects the next request, once the one before has been answered.
     pub fn expect_request(&mut self) {
-        if self.0.state == State::Complete {
-            let input = std::mem::take(&mut self.0.input);
-            self.0 = Framing::new(State::Head, BODY_WINDOW_BYTES);
+        if self.framing.state == State::Complete {
+            let input = std::mem::take(&mut self.framing.input);
+            self.framing = Framing::new(State::Head, BODY_WINDOW_BYTES);
             if !input.is_empty() {
-                self.0.input = input;
+                self.framing.input = input;
             }
         }
     }
 
     /// Whether all bytes of the request have been framed.
     pub fn is_complete(&self) -> bool {
-        self.0.state == State::Complete
+        self.framing.state == State::Complete
     }
 
     /// Whether bytes of the request can only be framed once some of its body has been consumed.
     pub fn is_window_closed(&self) -> bool {
-        self.0.window == 0
+        self.framing.window == 0
     }
 
     /// Some bytes of the body were consumed.
     pub fn body_consumed(&mut self, bytes: usize) {
-        self.0.window = (self.0.window + bytes).min(BODY_WINDOW_BYTES);
+        self.framing.window = (self.framing.window + bytes).min(BODY_WINDOW_BYTES);
     }
 
     /// The number of bytes received that have not been framed.
     pub fn unframed_bytes(&self) -> usize {
-        self.0.input.len()
+        self.framing.input.len()
     }
 
     /// The buffer for bytes read from the connection.
     pub fn input_buffer(&mut self) -> &mut BytesMut {
-        self.0.input.reserve(READ_BYTES);
-        &mut self.0.input
+        self.framing.input.reserve(READ_BYTES);
+        &mut self.framing.input
     }
 
     /// The bytes that actix-http may read.
     pub fn output(&mut self) -> &mut BytesMut {
-        &mut self.0.output
+        &mut self.framing.output
     }
 
     /// Takes what was received and not framed, where the connection is about to close.
     pub fn take_unframed(&mut self) -> BytesMut {
-        std::mem::take(&mut self.0.input)
+        std::mem::take(&mut self.framing.input)
     }
 
     /// Frames the bytes received so far, up to the end of the request. A malformed request is forwarded as it is:
@@ -96,30 +98,32 @@
     pub fn parse_input(&mut self) -> Result<(), HeadTooLong> {
         loop {
             match self.next_state() {
-                Ok(Some(next)) => self.0.state = next,
+                Ok(Some(next)) => self.framing.state = next,
                 Ok(None) => return Ok(()),
                 Err(RequestError::HeadTooLong) => return Err(HeadTooLong),
                 Err(RequestError::Malformed) => {
-                    self.0.forward(self.0.input.len());
-                    self.0.state = State::Complete;
+                    self.framing.forward(self.framing.input.len());
+                    self.framing.state = State::Complete;
                 }
             }
         }
     }
 
     fn next_state(&mut self) -> Result<Option<State>, RequestError> {
-        match self.0.state {
+        match self.framing.state {
             State::Head => self.parse_head(),
-            _ => Ok(self.0.parse_body()?),
+            _ => Ok(self.framing.parse_body()?),
         }
     }
 
     fn parse_head(&mut self) -> Result<Option<State>, RequestError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut request = httparse::Request::new(&mut headers);
-        let length = match request.parse(&self.0.input) {
+        let length = match request.parse(&self.framing.input) {
             Ok(Complete(length)) => length,
-            Ok(Partial) if self.0.input.len() > MAX_HEAD_BYTES => return Err(RequestError::HeadTooLong),
+            Ok(Partial) if self.framing.input.len() > MAX_HEAD_BYTES => {
+                return Err(RequestError::HeadTooLong);
+            }
             Ok(Partial) => return Ok(None),
             Err(_) => return Err(RequestError::Malformed),
         };
@@ -129,9 +133,8 @@
         } else {
             announced.unwrap_or(State::Complete)
         };
-        self.0.forward(length);
-        // Without this, an empty body would stay incomplete until more is received.
-        Ok(Some(if next == State::FixedLength(0) { State::Complete } else { next }))
+        self.framing.forward(length);
+        Ok(Some(next))
     }
 }
 
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -323,8 +323,7 @@
     let over_limit = state.as_ref().is_some_and(|state| state.over_limit);
     // The connection of a rejected client is closed: requests that it has pipelined are not worth further work.
     let mut rejected = false;
-    // The place of a streamed response in the limit of open requests, as it is held until the response ends.
-    let mut streamed = None;
+    let mut streaming_permit = None;
     // Looked up under the settings at arrival: a reload may remove the class before the request ends.
     let outcomes = front.outcomes(request.path());
     let mut response = if request.method() == Method::GET && request.path() == HEALTH_PATH {
@@ -335,11 +334,11 @@
         encode_answer(Answer::Refused { retry_after: None })
     } else {
         match front.accept_request(&mut request, state.as_ref()).await {
-            Ok((answer, permit)) => {
+            Ok(AnsweredRequest { answer, permit }) => {
                 match &answer {
                     // Counted by the `ResponseGuard` when the response ends.
                     Answer::Served(ResponseBody { data: BodyData::Streaming { .. }, .. }) => {
-                        streamed = permit
+                        streaming_permit = permit
                     }
                     Answer::Served(_) => outcomes.served.increment(),
                     Answer::Refused { .. } => outcomes.refused.increment(),
@@ -373,7 +372,7 @@
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
     }
     let next_phase = if close { Phase::Draining } else { Phase::Idle };
-    if let Some(permit) = streamed {
+    if let Some(permit) = streaming_permit {
         let guard = ResponseGuard {
             state,
             next_phase,
@@ -406,13 +405,12 @@
         class.cloned().unwrap_or_default()
     }
 
-    /// Receives a request, submits it to the engine and waits for the answer, which comes with the place of the request
-    /// in the limit of open requests, where it got one.
+    /// Receives a request, submits it to the engine and waits for the answer.
     async fn accept_request(
         &self,
         request: &mut actix_http::Request,
         state: Option<&Rc<ClientConnection>>,
-    ) -> Result<(Answer, Option<OwnedSemaphorePermit>), Malformed> {
+    ) -> Result<AnsweredRequest, Malformed> {
         let active = self.active.borrow().clone();
         let decoded = Request::decode(request.head(), &active.site, active.rules.as_deref())?;
         let length = Request::content_length(request.head());
@@ -424,11 +422,11 @@
         let body = receive_body(&mut payload, state, limit, &self.clients.memory).await?;
         if self.clients.memory.is_exhausted() {
             log_limited!(self.limit_log, warn, "request refused: no memory, as clients read no responses");
-            return Ok((Answer::Refused { retry_after: None }, None));
+            return Ok(AnsweredRequest::refused());
         }
         let Ok(permit) = self.request_permits.clone().try_acquire_owned() else {
             log_limited!(self.limit_log, warn, "request refused: open request limit reached");
-            return Ok((Answer::Refused { retry_after: None }, None));
+            return Ok(AnsweredRequest::refused());
         };
         // Sending a duplicate of an open request would execute it twice, whichever client sent it.
         if !self.ids_in_use.borrow_mut().insert(decoded.id.clone()) {
@@ -471,14 +469,28 @@
             answer = answer => answer,
             // The process exits: failing is always a correct answer, as it promises nothing, and no request is left
             // without one.
-            _ = stage.wait_for(|stage| *stage == Stage::Aborting) => return Ok((Answer::Failed, Some(permit))),
+            _ = stage.wait_for(|stage| *stage == Stage::Aborting) => return Ok(AnsweredRequest { answer: Answer::Failed, permit: Some(permit) }),
         };
         open.answered = true;
         let answer = answer.unwrap_or_else(|_| {
             tracing::error!("the engine dropped a request without an answer");
             Answer::Failed
         });
-        Ok((answer, Some(permit)))
+        Ok(AnsweredRequest { answer, permit: Some(permit) })
+    }
+}
+
+/// A request that was received, with its answer.
+struct AnsweredRequest {
+    answer: Answer,
+    /// Its place among the open requests; `None` if it was refused before it got one.
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+impl AnsweredRequest {
+    /// A request that was refused at a limit.
+    fn refused() -> AnsweredRequest {
+        AnsweredRequest { answer: Answer::Refused { retry_after: None }, permit: None }
     }
 }
 
--- a/crates/http/src/front/memory_report.rs
+++ b/crates/http/src/front/memory_report.rs
@@ -14,7 +14,7 @@
 
 /// Reports until it is aborted.
 pub(super) async fn report_memory(clients: Rc<Clients>, metrics: Arc<Metrics>) {
-    let limit = clients.options.memory_limit_bytes;
+    let warning_threshold = clients.options.memory_limit_bytes / 4 * 3;
     let warning = LogLimiter::default();
     for reading in 1_u32.. {
         sleep(READ_INTERVAL).await;
@@ -22,7 +22,7 @@
         let Some(memory) = ResidentMemory::read() else { continue };
         metrics.resident_bytes.set(memory.current);
         let line = memory_line(memory, &clients);
-        if memory.current > limit / 4 * 3 {
+        if memory.current > warning_threshold {
             log_limited!(warning, warn, format!("over three quarters of the memory limit: {line}"));
         } else if reading % READINGS_PER_LOG_LINE == 0 && clients.count() > 0 {
             tracing::info!("{line}");
