A head over 16 KiB that is received at once is answered 431 as well

The bound was asked of an incomplete head alone, so what a head may have depended on how it arrived. It is now asked of a complete one too. The new test was red before (in pieces of 1000 bytes, whose buffer holds more than the bound) and is green now.

--- a/crates/http/src/frame/request.rs
+++ b/crates/http/src/frame/request.rs
@@ -127,6 +127,10 @@
             Ok(Partial) => return Ok(None),
             Err(_) => return Err(RequestError::Malformed),
         };
+        // However much of it was received at once.
+        if length > MAX_HEAD_BYTES {
+            return Err(RequestError::HeadTooLong);
+        }
         let announced = announced_body(request.headers)?;
         let next = if takes_over_connection(&request) {
             State::UntilClose
--- a/crates/http/src/frame/request/tests.rs
+++ b/crates/http/src/frame/request/tests.rs
@@ -72,6 +72,26 @@
     assert_eq!(framer.parse_input(), Err(HeadTooLong));
 }
 
+/// Guards against a bound that depends on how a head arrives: one received at once was accepted at any length.
+#[test]
+fn head_over_the_limit_is_an_error_in_any_pieces() {
+    let head = |bytes: usize| format!("GET / HTTP/1.1\r\nCookie: {}\r\n\r\n", "x".repeat(bytes));
+    for piece in [1000, usize::MAX] {
+        let mut framer = RequestFramer::default();
+        let results: Vec<_> = head(MAX_HEAD_BYTES)
+            .as_bytes()
+            .chunks(piece)
+            .map(|bytes| {
+                framer.input_buffer().extend_from_slice(bytes);
+                framer.parse_input()
+            })
+            .collect();
+        assert!(results.contains(&Err(HeadTooLong)), "in pieces of {piece}");
+        let under = head(MAX_HEAD_BYTES - 100);
+        assert_eq!(requests(&under, piece)[0], under);
+    }
+}
+
 #[test]
 fn connection_that_is_taken_over_has_one_request() {
     for head in ["CONNECT x HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nUpgrade: WebSocket\r\n\r\n"] {
