--- a/review/harness-2.rs
+++ b/review/harness-2.rs
@@ -33,8 +33,12 @@
 
 fn kill_children() {
     for child in CHILDREN.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
-        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {child}")]).stderr(Stdio::null()).status();
+        let _ = Command::new("/bin/sh")
+            .args(["-c", &format!("kill -KILL {child}")])
+            .stderr(Stdio::null())
+            .status();
     }
+    let _ = std::fs::remove_dir_all(Folder::path());
 }
 
 /// Has the case end with 2, and its processes with it, where it panics or takes more than 115 s.
@@ -86,8 +90,12 @@
 pub struct Folder(pub PathBuf);
 
 impl Folder {
+    fn path() -> PathBuf {
+        std::env::temp_dir().join(format!("dunlincleat-review-2-{}", std::process::id()))
+    }
+
     pub fn create() -> Folder {
-        let path = std::env::temp_dir().join(format!("dunlincleat-review-2-{}", std::process::id()));
+        let path = Folder::path();
         std::fs::create_dir_all(&path).expect("a temporary folder");
         Folder(path)
     }
@@ -415,7 +423,8 @@
                 write_answer(&mut stream, "200 OK", "", &body)?;
                 continue;
             }
-            let after = path.split("after=").nth(1).and_then(|rev| rev.split('&').next()?.parse::<u64>().ok());
+            let after =
+                path.split("after=").nth(1).and_then(|rev| rev.split('&').next()?.parse::<u64>().ok());
             return self.watch(&mut stream, after.unwrap_or(0));
         }
         Ok(())
@@ -538,4 +547,3 @@
     stream.read_to_string(&mut text)?;
     Ok(text)
 }
-
