A long response is kept while its client takes bytes of it, however slowly

A response whose last piece waited for room was cut off after the idle timeout of its connection.

Cause: the transport to the server gave a client up when the next chunk found no room for 20 s. The system tells only when a third of the send buffer is free again, and on loopback that buffer grows to 4 MB: 20 s of steady reading. Second: the connection counted as idle, or as draining, as soon as the last chunk was handed to actix-http, with up to 32 KiB of it still waiting.

Change: one owner judges the client, its ClientConnection: it notes when the socket last took bytes and gives the client up after 20 s without one. While a response waits, the connection is neither idle nor to be evicted. The send buffer is set to 128 KiB, so that room is told after some 85 KB. The transport has no clock of its own for the client any more.

--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -48,6 +48,9 @@
 const EXCESS_CONNECTIONS: usize = 16;
 /// Interval between checks of the deadlines of client connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Size of the send buffer of a client connection, in bytes. A larger one, which the system would choose itself, tells
+/// only every some megabytes that the client has taken bytes.
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
 /// Time a client whose request was not received has to read the response and to close; what it still sends meanwhile is
 /// discarded.
 const REJECTED_CLIENT_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -229,6 +232,9 @@
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!("cannot set TCP_NODELAY on a client connection: {error}");
     }
+    if let Err(error) = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
+        tracing::debug!("cannot set the send buffer of a client connection: {error}");
+    }
     let state = slot.state.clone();
     let mut stage = front.stage.clone();
     let stream = Rc::new(stream);
--- a/crates/http/src/front/client_io.rs
+++ b/crates/http/src/front/client_io.rs
@@ -87,7 +87,7 @@
         let result = match state.phase.get() {
             Phase::Draining => this.read_discarded(cx, buf),
             // The client has not read its last response: its next request waits.
-            Phase::Connected | Phase::Idle | Phase::ReadingHead if state.write_blocked.get() => {
+            Phase::Connected | Phase::Idle | Phase::ReadingHead if state.is_write_blocked() => {
                 state.read_waits_for_write.set(true);
                 Poll::Pending
             }
@@ -119,7 +119,7 @@
                 Poll::Ready(Ok(()))
             }
             // Bytes that arrive from here on cross a response that is already being sent.
-            Phase::ReadingHead | Phase::ReadingBody if closing && !state.write_blocked.get() => {
+            Phase::ReadingHead | Phase::ReadingBody if closing && !state.is_write_blocked() => {
                 state.termination.set(Some(Termination::RequestTimeout));
                 Poll::Pending
             }
@@ -137,16 +137,21 @@
 impl AsyncWrite for ClientIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let state = &self.state;
-        state.write_blocked.set(true);
         state.unsent_memory.set(buf.len());
         loop {
-            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.poll_write_ready(cx) {
+                Poll::Ready(ready) => ready?,
+                Poll::Pending => {
+                    state.response_waits();
+                    return Poll::Pending;
+                }
+            }
             match self.stream.try_write(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => {
                     let unsent = result.as_ref().map_or(0, |count| buf.len() - count);
                     state.unsent_memory.set(unsent);
-                    state.write_blocked.set(unsent > 0);
+                    state.response_bytes_taken(unsent > 0);
                     if unsent == 0 && state.read_waits_for_write.take() {
                         state.wake.notify_one();
                     }
--- a/crates/http/src/front/clients.rs
+++ b/crates/http/src/front/clients.rs
@@ -27,6 +27,8 @@
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
 /// Minimum rate at which a client has to send a body: half of what well-behaved slow clients achieve.
 const MIN_UPLOAD_BYTES_PER_S: f64 = 32.0 * 1024.0;
+/// Time without a byte taken by a client after which it is considered gone while a response waits for it.
+const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time for which a rejected client may continue to send.
 pub(super) const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 /// In standby, the age from which a connection that has sent nothing is closed; a newer one may be about to send its
@@ -84,8 +86,8 @@
     pub(super) discarded: Cell<usize>,
     /// Set when the connection has to be terminated.
     pub(super) termination: Cell<Option<Termination>>,
-    /// The last write was incomplete: the client does not read.
-    pub(super) write_blocked: Cell<bool>,
+    /// Since when the client has taken nothing of a response that waits for it; `None` if none waits.
+    pub(super) write_blocked_since: Cell<Option<Instant>>,
     /// The request body is streamed to a server, so that the upload rate also depends on the server.
     pub(super) streams_body: Cell<bool>,
     /// The connection exceeds the limit; its requests are refused.
@@ -108,7 +110,7 @@
             read_ahead_full: Cell::default(),
             discarded: Cell::default(),
             termination: Cell::default(),
-            write_blocked: Cell::default(),
+            write_blocked_since: Cell::default(),
             streams_body: Cell::default(),
             over_limit,
             wake: Notify::new(),
@@ -192,8 +194,27 @@
         self.termination.get().map_or(Poll::Pending, Poll::Ready)
     }
 
+    /// The client has taken bytes of a response; the rest of them waits if `waits`.
+    pub(super) fn response_bytes_taken(&self, waits: bool) {
+        self.write_blocked_since.set(waits.then(Instant::now));
+    }
+
+    /// The client has no room for a response.
+    pub(super) fn response_waits(&self) {
+        self.write_blocked_since.set(self.write_blocked_since.get().or_else(|| Some(Instant::now())));
+    }
+
+    /// Whether a response waits for the client to take it.
+    pub(super) fn is_write_blocked(&self) -> bool {
+        self.write_blocked_since.get().is_some()
+    }
+
     /// When the timeout of the current phase expires.
     pub(super) fn deadline(&self, options: &HttpOptions, stage: Stage) -> Option<Instant> {
+        // The last part of a response may still wait when its connection counts as idle or draining.
+        if let Some(since) = self.write_blocked_since.get() {
+            return Some(since + CLIENT_STALL_TIMEOUT);
+        }
         let time = match self.phase.get() {
             // Clients are being sent away, and no response is due that could tell this one.
             Phase::Idle if matches!(stage, Stage::StandbyClosingIdle | Stage::ShutdownClosingIdle) => {
@@ -226,7 +247,9 @@
     /// Called after each sweep. Terminates a connection that was asked to close and did not, because its client reads
     /// nothing.
     pub(super) fn after_sweep(&self, now: Instant) {
-        if self.closing_since.get().is_some_and(|since| now - since >= DRAIN_TIMEOUT) {
+        let takes_response =
+            self.write_blocked_since.get().is_some_and(|since| now - since < CLIENT_STALL_TIMEOUT);
+        if !takes_response && self.closing_since.get().is_some_and(|since| now - since >= DRAIN_TIMEOUT) {
             self.termination.set(self.termination.get().or(Some(Termination::ClientLeft)));
         }
         if self.discarded.replace(0) >= MAX_DISCARDED_BYTES || self.termination.get().is_some() {
@@ -237,7 +260,7 @@
     /// How suitable the connection is for eviction: idle connections first, then those without a complete request,
     /// the oldest first.
     fn eviction_rank(&self, now: Instant) -> Option<EvictionRank> {
-        if self.closing_since.get().is_some() {
+        if self.closing_since.get().is_some() || self.is_write_blocked() {
             return None;
         }
         let age = now - self.phase_since.get();
@@ -337,3 +360,6 @@
         self.clients.connections.borrow_mut().remove(&self.number);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/http/src/peer/exchange.rs
+++ b/crates/http/src/peer/exchange.rs
@@ -21,7 +21,7 @@
 use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// Identifies an attempt.
 #[derive(Clone, Copy)]
@@ -125,8 +125,6 @@
 /// How long the start of a response of unknown length is buffered, relative to the stall timeout. A response that
 /// breaks off or stalls while it is buffered can be retried.
 const BUFFER_TIME_FACTOR: f64 = 4.0 / 3.0;
-/// Time a client has to accept the next chunk of a response.
-const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(20);
 /// Number of response chunks in transit to the client.
 const STREAM_CHANNEL_CAPACITY: usize = 1;
 
@@ -301,7 +299,8 @@
 }
 
 /// Streams the rest of a response at the rate at which its client reads: nothing is read from the server that the
-/// client has no room for.
+/// client has no room for. Whether the client still reads is judged by its connection, which drops the receiver of a
+/// client that does not.
 async fn stream_response(
     response: &mut awc::ClientResponse,
     client: &mpsc::Sender<BodyChunk>,
@@ -320,10 +319,10 @@
             Some(Err(_)) | None => return Status::Reset,
         };
         let ends = matches!(chunk, BodyChunk::End);
-        match timeout(CLIENT_STALL_TIMEOUT, client.send(chunk)).await {
-            Ok(Ok(())) if ends => return Status::Ok,
-            Ok(Ok(())) => {}
-            Ok(Err(_)) | Err(_) => return Status::Cancelled,
+        match client.send(chunk).await {
+            Ok(()) if ends => return Status::Ok,
+            Ok(()) => {}
+            Err(_) => return Status::Cancelled,
         }
     }
 }
--- /dev/null
+++ b/crates/sidecar/tests/slow_streams.rs
@@ -0,0 +1,73 @@
+//! Long bodies that one side writes or reads slowly: progress keeps them alive, however long they take.
+
+mod common;
+
+use common::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Starts a server that handles each connection with this function.
+fn raw_server(handle: impl Fn(TcpStream) + Send + Sync + Clone + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let handle = handle.clone();
+            thread::spawn(move || handle(stream));
+        }
+    });
+    address
+}
+
+/// Reads a response whose body ends with its connection, or has the given length; returns the number of its bytes.
+fn read_body_bytes(stream: &mut impl Read, mut received: Vec<u8>, length: usize) -> usize {
+    let mut part = vec![0; 1 << 16];
+    let body_bytes = |received: &[u8]| {
+        let head =
+            received.windows(4).position(|four| four == b"\r\n\r\n").map_or(received.len(), |at| at + 4);
+        received.len() - head
+    };
+    while body_bytes(&received) < length {
+        match stream.read(&mut part) {
+            Ok(0) | Err(_) => break,
+            Ok(count) => received.extend_from_slice(&part[..count]),
+        }
+    }
+    body_bytes(&received)
+}
+
+/// Half the rate of the slowest readers, in bytes a second, so that the longest wait for room comes at the start.
+const SLOW_RATE: f64 = 32_000.0;
+/// What they read at a time.
+const SLOW_READ_BYTES: usize = 4_000;
+/// Longer than a client that takes nothing is waited for.
+const SLOW_READING: Duration = Duration::from_secs(26);
+/// More than the system buffers between the server and its client, and than is read slowly.
+const LONG_RESPONSE_BYTES: usize = 9_000_000;
+
+/// Guards against a long response cut off while its client reads it steadily: the time until the socket had room again
+/// was taken for that of a client that reads no more.
+#[test]
+fn long_response_is_not_cut_off_while_its_client_reads_slowly() {
+    let server = raw_server(|mut stream| {
+        let _ = stream.read(&mut [0; 4096]);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_RESPONSE_BYTES}\r\n\r\n");
+        let _ = stream.write_all(head.as_bytes());
+        let _ = stream.write_all(&vec![b'x'; LONG_RESPONSE_BYTES]);
+    });
+    let sidecar = Setup::new(vec![entry("s1", server, "up")]).start();
+    let mut stream = sidecar.connect().stream;
+    stream.write_all(once_request("r1").as_bytes()).unwrap();
+    let start = Instant::now();
+    let mut received = Vec::new();
+    let mut part = [0; SLOW_READ_BYTES];
+    while start.elapsed() < SLOW_READING {
+        let count = stream.read(&mut part).unwrap();
+        received.extend_from_slice(&part[..count]);
+        let due = Duration::from_secs_f64(received.len() as f64 / SLOW_RATE);
+        thread::sleep(due.saturating_sub(start.elapsed()));
+    }
+    assert_eq!(read_body_bytes(&mut stream, received, LONG_RESPONSE_BYTES), LONG_RESPONSE_BYTES);
+}
