One account for all that a client connection holds, admitted against memory_mb

Cause: the account of front/memory.rs began behind the decoder. Not counted were the framer's buffers, the decoded head, the payload queue, the read and write buffers of actix-http, which keep the size of the largest message, and all of that again for a connection that was drained behind a refusal. A queue of one-byte chunks took many times their bytes. The number of connections came from the descriptors alone.

Change: ConnectionMemory of each connection accounts from accept to close: a fixed 32 KiB, and its input, body and untaken response beyond 8 KiB. Half of memory_mb is for connections, a quarter for responses of open requests; the default of client_connections leaves a quarter of the connections' half free. actix-http gets 8 KiB of a body at a time, its chunks joined, and hands out responses in parts of 8 KiB. A request that is rejected before it was received is ended without actix-http, on 4 KiB. Where memory or places lack, the connection without progress for longest gives way, refused where nothing of it can have run; requests being received hold half of the places at most, so that good clients are served beside slow ones. As less is read ahead, a close behind unread bytes is now told by the poller, not by reading up to it.

--- a/crates/http/src/frame/body.rs
+++ b/crates/http/src/frame/body.rs
@@ -47,11 +47,27 @@
     pub(super) output: BytesMut,
     /// How many more bytes of the body may be forwarded until some of those before are consumed.
     pub(super) window: usize,
+    /// Whether the chunks of a body are joined: a library that queues each of them takes many times their bytes.
+    join_chunks: bool,
+    /// The data of joined chunks that has not been forwarded.
+    joined: BytesMut,
 }
 
 impl Framing {
     pub(super) fn new(state: State, window: usize) -> Framing {
-        Framing { state, input: BytesMut::new(), output: BytesMut::new(), window }
+        Framing {
+            state,
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            window,
+            join_chunks: false,
+            joined: BytesMut::new(),
+        }
+    }
+
+    /// The same, but the chunks received at a time are forwarded as one.
+    pub(super) fn joining_chunks(state: State, window: usize) -> Framing {
+        Framing { join_chunks: true, ..Framing::new(state, window) }
     }
 
     /// Takes the next step within a body. Returns what is expected then, or `None` if more has to be received.
@@ -62,6 +78,7 @@
             State::UntilClose => self.forward_up_to(u64::MAX).map(|_| State::UntilClose),
             State::ChunkSize => self.parse_chunk_size()?,
             State::ChunkData(0) => Some(State::ChunkEnd),
+            State::ChunkData(left) if self.join_chunks => self.join_up_to(left).map(State::ChunkData),
             State::ChunkData(left) => self.forward_up_to(left).map(State::ChunkData),
             State::ChunkEnd => self.parse_chunk_end()?,
             State::Trailers => self.parse_trailers()?,
@@ -72,10 +89,39 @@
     /// Forwards up to `left` bytes of a body; returns how many of them are still to come, or `None` if nothing may be
     /// forwarded.
     fn forward_up_to(&mut self, left: u64) -> Option<u64> {
-        let count = usize::try_from(left).unwrap_or(usize::MAX).min(self.input.len()).min(self.window);
+        let count = self.take_window(left)?;
         self.forward(count);
+        Some(left - count as u64)
+    }
+
+    /// The same for the data of a chunk that is joined with others.
+    fn join_up_to(&mut self, left: u64) -> Option<u64> {
+        let count = self.take_window(left)?;
+        self.joined.extend_from_slice(&self.input[..count]);
+        self.input.advance(count);
+        Some(left - count as u64)
+    }
+
+    /// Takes as much of the window as there is input for, up to `left`; `None` if that is nothing.
+    fn take_window(&mut self, left: u64) -> Option<usize> {
+        let count = usize::try_from(left).unwrap_or(usize::MAX).min(self.input.len()).min(self.window);
         self.window -= count;
-        (count > 0).then_some(left - count as u64)
+        (count > 0).then_some(count)
+    }
+
+    /// Forwards the data of joined chunks as one chunk.
+    pub(super) fn forward_joined(&mut self) {
+        let data = std::mem::take(&mut self.joined);
+        if !data.is_empty() {
+            self.output.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+            self.output.extend_from_slice(&data);
+            self.output.extend_from_slice(b"\r\n");
+        }
+    }
+
+    /// Forwards a part of the chunked framing, which joined chunks do without.
+    fn forward_chunk_framing(&mut self, count: usize) {
+        if self.join_chunks { self.input.advance(count) } else { self.forward(count) }
     }
 
     pub(super) fn forward(&mut self, count: usize) {
@@ -94,7 +140,7 @@
             Ok(Partial) => return self.await_more("a chunk size line exceeds 16 KiB"),
             Err(_) => return Err(InvalidMessage("a chunk size line is malformed")),
         };
-        self.forward(line);
+        self.forward_chunk_framing(line);
         Ok(Some(if size == 0 { State::Trailers } else { State::ChunkData(size) }))
     }
 
@@ -105,7 +151,7 @@
         if !self.input.starts_with(b"\r\n") {
             return Err(InvalidMessage("a chunk is not followed by CRLF"));
         }
-        self.forward(2);
+        self.forward_chunk_framing(2);
         Ok(Some(State::ChunkSize))
     }
 
@@ -117,6 +163,10 @@
         };
         // The trailers are not needed, and actix-http and awc do not parse trailers.
         self.input.advance(length);
+        if self.join_chunks {
+            self.forward_joined();
+            self.output.extend_from_slice(b"0\r\n");
+        }
         self.output.extend_from_slice(b"\r\n");
         Ok(Some(State::Complete))
     }
--- a/crates/http/src/frame/request.rs
+++ b/crates/http/src/frame/request.rs
@@ -11,7 +11,11 @@
 /// Maximum number of headers of a request, as in actix-http.
 const MAX_HEADERS: usize = 96;
 /// Maximum number of bytes of a body that actix-http holds before they are consumed.
-const BODY_WINDOW_BYTES: usize = 32 * 1024;
+const BODY_WINDOW_BYTES: usize = 8 * 1024;
+/// Memory of a header of a decoded request, in bytes, beside its text.
+const DECODED_HEADER_BYTES: usize = 256;
+/// A chunk size line that actix-http rejects, in place of a malformed part of a chunked body.
+const MALFORMED_CHUNK_SIZE: &[u8] = b"!\r\n";
 
 /// The head of a request exceeds the limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,11 +37,19 @@
 #[derive(Debug)]
 pub struct RequestFramer {
     framing: Framing,
+    /// The size of the allocation behind the input.
+    input_allocation: usize,
+    /// The memory of the decoded head of the current request.
+    decoded_head_bytes: usize,
 }
 
 impl Default for RequestFramer {
     fn default() -> RequestFramer {
-        RequestFramer { framing: Framing::new(State::Head, BODY_WINDOW_BYTES) }
+        RequestFramer {
+            framing: Framing::joining_chunks(State::Head, BODY_WINDOW_BYTES),
+            input_allocation: 0,
+            decoded_head_bytes: 0,
+        }
     }
 }
 
@@ -46,10 +58,10 @@
     pub fn expect_request(&mut self) {
         if self.framing.state == State::Complete {
             let input = std::mem::take(&mut self.framing.input);
-            self.framing = Framing::new(State::Head, BODY_WINDOW_BYTES);
-            if !input.is_empty() {
-                self.framing.input = input;
-            }
+            self.framing = Framing::joining_chunks(State::Head, BODY_WINDOW_BYTES);
+            self.framing.input = input;
+            self.decoded_head_bytes = 0;
+            self.release_empty_buffers();
         }
     }
 
@@ -73,12 +85,31 @@
         self.framing.input.len()
     }
 
+    /// The memory of what was received and has not been consumed, in bytes: both buffers, the decoded head and the
+    /// part of the body that actix-http holds.
+    pub fn held_bytes(&self) -> usize {
+        let decoding = BODY_WINDOW_BYTES.saturating_sub(self.framing.window);
+        self.input_allocation + self.framing.output.capacity() + self.decoded_head_bytes + decoding
+    }
+
     /// The buffer for bytes read from the connection.
     pub fn input_buffer(&mut self) -> &mut BytesMut {
         self.framing.input.reserve(READ_BYTES);
+        self.input_allocation = self.input_allocation.max(self.framing.input.capacity());
         &mut self.framing.input
     }
 
+    /// Gives back the memory of buffers that hold nothing.
+    pub fn release_empty_buffers(&mut self) {
+        if self.framing.input.is_empty() {
+            self.framing.input = BytesMut::new();
+            self.input_allocation = 0;
+        }
+        if self.framing.output.is_empty() {
+            self.framing.output = BytesMut::new();
+        }
+    }
+
     /// The bytes that actix-http may read.
     pub fn output(&mut self) -> &mut BytesMut {
         &mut self.framing.output
@@ -86,6 +117,7 @@
 
     /// Takes what was received and not framed, where the connection is about to close.
     pub fn take_unframed(&mut self) -> BytesMut {
+        self.input_allocation = 0;
         std::mem::take(&mut self.framing.input)
     }
 
@@ -99,16 +131,27 @@
         loop {
             match self.next_state() {
                 Ok(Some(next)) => self.framing.state = next,
-                Ok(None) => return Ok(()),
-                Err(RequestError::HeadTooLong) => return Err(HeadTooLong),
-                Err(RequestError::Malformed) => {
-                    self.framing.forward(self.framing.input.len());
-                    self.framing.state = State::Complete;
+                Ok(None) => {
+                    self.framing.forward_joined();
+                    return Ok(());
                 }
+                Err(RequestError::HeadTooLong) => return Err(HeadTooLong),
+                Err(RequestError::Malformed) => self.forward_malformed(),
             }
         }
     }
 
+    fn forward_malformed(&mut self) {
+        if self.framing.state == State::Head {
+            self.framing.forward(self.framing.input.len());
+        } else {
+            self.framing.forward_joined();
+            self.framing.output.extend_from_slice(MALFORMED_CHUNK_SIZE);
+            self.framing.input.clear();
+        }
+        self.framing.state = State::Complete;
+    }
+
     fn next_state(&mut self) -> Result<Option<State>, RequestError> {
         match self.framing.state {
             State::Head => self.parse_head(),
@@ -137,6 +180,7 @@
         } else {
             announced.unwrap_or(State::Complete)
         };
+        self.decoded_head_bytes = length + request.headers.len() * DECODED_HEADER_BYTES;
         self.framing.forward(length);
         Ok(Some(next))
     }
--- a/crates/http/src/frame/request/tests.rs
+++ b/crates/http/src/frame/request/tests.rs
@@ -31,7 +31,6 @@
         "GET /a HTTP/1.1\r\nHost: x\r\n\r\n",
         "POST /b HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello",
         "POST /c HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
-        "POST /d HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n4\r\nhalf\r\n01;x=y\r\n!\r\n0\r\n\r\n",
         "\r\nGET /e HTTP/1.0\r\n\r\n",
         "",
     ];
@@ -40,6 +39,43 @@
     }
 }
 
+/// Guards against a queue of chunks that takes many times their bytes: those received at a time are forwarded as one.
+#[test]
+fn chunks_of_a_body_are_joined() {
+    let head = "POST /d HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n";
+    let next = "GET /e HTTP/1.1\r\n\r\n";
+    let body = "4\r\nhalf\r\n01;x=y\r\n!\r\n3\r\n...\r\n0\r\nTrailer: 1\r\n\r\n";
+    let received = format!("{head}{body}{next}");
+    assert_eq!(requests(&received, 1000), [&format!("{head}8\r\nhalf!...\r\n0\r\n\r\n"), next, ""]);
+    for piece in [1, 7] {
+        let framed = requests(&received, piece);
+        assert_eq!(framed[1..], [next, ""], "in pieces of {piece}");
+        let chunks = framed[0].strip_prefix(head).unwrap().strip_suffix("0\r\n\r\n").unwrap();
+        assert_eq!(chunk_data(chunks), "half!...", "in pieces of {piece}");
+    }
+}
+
+/// The data of complete chunks.
+fn chunk_data(mut chunks: &str) -> String {
+    let mut data = String::new();
+    while let Some((size, rest)) = chunks.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).unwrap();
+        data.push_str(&rest[..size]);
+        chunks = rest[size..].strip_prefix("\r\n").unwrap();
+    }
+    data
+}
+
+/// Joining must not make a malformed body look sound.
+#[test]
+fn malformed_chunks_stay_malformed() {
+    let head = "POST /d HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for malformed in ["x\r\n", "1\r\nab\r\n", "1\r\na1\r\nb\r\n0\r\n\r\n", "0\r\n\0: x\r\n\r\n"] {
+        let framed = &requests(&format!("{head}{malformed}"), 1000)[0];
+        assert!(framed.ends_with("!\r\n"), "{malformed:?} is framed as {framed:?}");
+    }
+}
+
 #[test]
 fn body_is_forwarded_as_it_is_consumed() {
     let mut framer = RequestFramer::default();
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -9,6 +9,7 @@
 
 use crate::message::{
     BodyData, HEALTH_PATH, Malformed, RemainingBody, Request, ResponseBody, class_of, encode_answer,
+    encode_rejection,
 };
 use crate::options::HttpOptions;
 use crate::{Answer, Handle};
@@ -20,7 +21,9 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use anyhow::{Context as _, Result, anyhow};
 use client_io::ClientIo;
-use clients::{ClientConnection, ClientSlot, Clients, ConnectionSummary, DRAIN_TIMEOUT, Phase, Termination};
+use clients::{
+    ClientConnection, ClientSlot, Clients, ConnectionSummary, DRAIN_TIMEOUT, Phase, Shortage, Termination,
+};
 use dunlincleat::api::RequestId;
 use dunlincleat_limits::RuleSet;
 use dunlincleat_settings::InstanceSettings;
@@ -33,13 +36,14 @@
 use rustc_hash::FxHashSet;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::future::poll_fn;
+use std::future::{pending, poll_fn};
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use streaming::{CountedBody, ResponseGuard, upload_chunks};
+use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
@@ -51,12 +55,20 @@
 /// Size of the send buffer of a client connection, in bytes. A larger one, which the system would choose itself, tells
 /// only every some megabytes that the client has taken bytes.
 const SEND_BUFFER_BYTES: usize = 128 * 1024;
-/// Time a client whose request was not received has to read the response and to close; what it still sends meanwhile is
-/// discarded.
+/// Size of the write buffer of a client connection, in bytes, to which one part of a body is added at most.
+const WRITE_BUFFER_BYTES: usize = 8 * 1024;
+/// Time a client whose request was not received in time has to read the response and to close; what it still sends
+/// meanwhile is discarded.
 const REJECTED_CLIENT_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum number of bytes discarded of a request that was rejected.
+const MAX_REJECTED_BYTES: usize = 1024 * 1024;
+/// Time an evicted connection has to release its place among the open requests.
+const EVICTION_TIMEOUT: Duration = Duration::from_millis(20);
 /// Response to a request that was not received completely in time; no part of it was sent to a server.
 const REQUEST_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+/// Response to a request that is refused at a limit before it was received completely, so that it has not run.
+const REFUSED_RESPONSE: &[u8] = REQUEST_TIMEOUT_RESPONSE;
 /// Response to a request whose head exceeds the limit.
 const HEAD_TOO_LONG_RESPONSE: &[u8] =
     b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
@@ -122,6 +134,8 @@
     clients: Rc<Clients>,
     /// One permit for each further request that may be accepted.
     request_permits: Arc<Semaphore>,
+    /// One permit for each further of these whose body is still being received: slow clients leave room for others.
+    upload_permits: Arc<Semaphore>,
     /// The `X-Request-ID` values of the open requests.
     ids_in_use: RefCell<FxHashSet<HeaderValue>>,
     next_id: Cell<u64>,
@@ -148,6 +162,7 @@
     let stopped = move |stage: &Stage| *stage >= Stage::ListenerClosed || shared && stage.is_shutting_down();
     let connections = Arc::new(Semaphore::new(limit));
     let request_permits = Arc::new(Semaphore::new(options.max_requests));
+    let upload_permits = Arc::new(Semaphore::new((options.max_requests / 2).max(1)));
     let clients = Rc::new(Clients {
         options: options.clone(),
         connections: RefCell::default(),
@@ -162,6 +177,7 @@
         engine,
         clients: clients.clone(),
         request_permits,
+        upload_permits,
         ids_in_use: RefCell::default(),
         next_id: Cell::new(0),
         stage: stage.clone(),
@@ -173,6 +189,7 @@
     // those of connections without an open request.
     let service = HttpService::build()
         .keep_alive(KeepAlive::Os)
+        .h1_write_buffer_size(WRITE_BUFFER_BYTES)
         .client_request_timeout(Duration::ZERO)
         .client_disconnect_timeout(DRAIN_TIMEOUT)
         // `ClientConnection::poll_termination` detects a client that closed. When actix-http did, unparsable bytes
@@ -240,6 +257,7 @@
     let stream = Rc::new(stream);
     let io = ClientIo { stream: stream.clone(), state: state.clone(), stage: stage.clone() };
     let mut connection = Box::pin(service.call((io, None)));
+    let mut awaits_close = true;
     let termination = loop {
         tokio::select! {
             biased;
@@ -257,6 +275,13 @@
             termination = poll_fn(|cx| state.poll_termination(&stream, cx)) => break termination,
             // Either event polls the connection again, which then closes it or resumes reading.
             () = state.wake.notified() => {}
+            // Completes when the client closes, whatever it sent before that is still unread.
+            Ok(ready) = stream.ready(Interest::PRIORITY), if awaits_close => {
+                awaits_close = false;
+                if ready.is_read_closed() {
+                    state.set_peer_closed();
+                }
+            }
             Ok(()) = stage.changed() => {}
         }
     };
@@ -274,6 +299,20 @@
             log_limited!(front.malformed_log, info, "request not taken: its head exceeds 16 KiB (431)");
             let _ = timeout(REJECTED_CLIENT_CLOSE_TIMEOUT, reject(&stream, HEAD_TOO_LONG_RESPONSE)).await;
         }
+        Termination::Refused => {
+            log_limited!(
+                front.limit_log,
+                warn,
+                "request refused: it was not received completely, and another one lacked its place (503)"
+            );
+            state.memory.release_all();
+            let _ = timeout(DRAIN_TIMEOUT, reject(&stream, REFUSED_RESPONSE)).await;
+        }
+        Termination::Rejected => {
+            state.memory.release_all();
+            let rejection = state.rejection.take();
+            let _ = timeout(DRAIN_TIMEOUT, reject(&stream, &rejection)).await;
+        }
     }
 }
 
@@ -283,14 +322,17 @@
     stream.try_write(response)?;
     socket2::SockRef::from(stream).shutdown(Shutdown::Write)?;
     let mut unread = [0; 4096];
-    loop {
+    let mut discarded = 0;
+    while discarded < MAX_REJECTED_BYTES {
         stream.readable().await?;
         match stream.try_read(&mut unread) {
             Ok(0) => return Ok(()),
             Err(error) if error.kind() != io::ErrorKind::WouldBlock => return Err(error),
-            Ok(_) | Err(_) => {}
+            Ok(count) => discarded += count,
+            Err(_) => {}
         }
     }
+    Ok(())
 }
 
 /// Closes connections whose deadline has passed, and one more if no permit is left.
@@ -332,6 +374,7 @@
     let mut streaming_permit = None;
     // Looked up under the settings at arrival: a reload may remove the class before the request ends.
     let outcomes = front.outcomes(request.path());
+    let _refusal_counter = RefusalCounter { state: state.clone(), outcomes: outcomes.clone() };
     let mut response = if request.method() == Method::GET && request.path() == HEALTH_PATH {
         health_response(front.stage.borrow().is_ready())
     } else if over_limit {
@@ -377,6 +420,18 @@
         // Closes the connection after the response is written; nothing else may close it before.
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
     }
+    if let Some(state) =
+        state.as_ref().filter(|state| streaming_permit.is_none() && !state.request_received())
+    {
+        match encode_rejection(response) {
+            // What the client still sends must not take memory: the connection is ended without actix-http.
+            Ok(rejection) => {
+                state.reject(rejection);
+                return pending().await;
+            }
+            Err(with_body) => response = with_body,
+        }
+    }
     let next_phase = if close { Phase::Draining } else { Phase::Idle };
     if let Some(permit) = streaming_permit {
         let guard = ResponseGuard {
@@ -395,6 +450,21 @@
     Ok(response)
 }
 
+/// Counts a request that is refused at a limit while it is being received.
+struct RefusalCounter {
+    state: Option<Rc<ClientConnection>>,
+    outcomes: Arc<ClassOutcomes>,
+}
+
+impl Drop for RefusalCounter {
+    fn drop(&mut self) {
+        let termination = self.state.as_ref().and_then(|state| state.termination.get());
+        if termination == Some(Termination::Refused) {
+            self.outcomes.refused.increment();
+        }
+    }
+}
+
 fn health_response(ready: bool) -> Response<BoxBody> {
     if ready {
         Response::with_body(StatusCode::OK, BoxBody::new("ok\n"))
@@ -411,6 +481,18 @@
         class.cloned().unwrap_or_default()
     }
 
+    /// Acquires a place among the open requests. At the limit, a request whose client makes no progress gives way.
+    async fn acquire_permit(&self, permits: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+        if let Ok(permit) = permits.clone().try_acquire_owned() {
+            return Some(permit);
+        }
+        if !self.clients.evict_stalled(Shortage::OpenRequests, Instant::now()) {
+            return None;
+        }
+        // The task of an evicted connection releases the place.
+        timeout(EVICTION_TIMEOUT, permits.clone().acquire_owned()).await.ok()?.ok()
+    }
+
     /// Receives a request, submits it to the engine and waits for the answer.
     async fn accept_request(
         &self,
@@ -425,12 +507,27 @@
         }
         let mut payload = request.take_payload();
         let limit = self.options.max_body_bytes;
-        let body = receive_body(&mut payload, state, limit, &self.clients.memory).await?;
-        if self.clients.memory.is_exhausted() {
+        let body = receive_body(&mut payload, state, limit, length).await?;
+        while self.clients.memory.is_exhausted() {
+            if self.clients.evict_stalled(Shortage::Memory, Instant::now()) {
+                continue;
+            }
             log_limited!(self.limit_log, warn, "request refused: no memory, as clients read no responses");
             return Ok(AnsweredRequest::refused());
         }
-        let Ok(permit) = self.request_permits.clone().try_acquire_owned() else {
+        if let Some(state) = state.filter(|state| state.peer_closed.get()) {
+            state.terminate(Termination::ClientLeft);
+            return pending().await;
+        }
+        let upload_permit = match body.complete {
+            true => None,
+            false => self.acquire_permit(&self.upload_permits).await,
+        };
+        if !body.complete && upload_permit.is_none() {
+            log_limited!(self.limit_log, warn, "request refused: limit of requests being received reached");
+            return Ok(AnsweredRequest::refused());
+        }
+        let Some(permit) = self.acquire_permit(&self.request_permits).await else {
             log_limited!(self.limit_log, warn, "request refused: open request limit reached");
             return Ok(AnsweredRequest::refused());
         };
--- a/crates/http/src/front/client_io.rs
+++ b/crates/http/src/front/client_io.rs
@@ -1,16 +1,19 @@
 //! The socket of a client connection, as actix-http reads and writes it.
 
 use super::clients::{ClientConnection, MAX_BUFFERED_BYTES, Phase, Termination};
+use super::memory::MemoryUse;
 use crate::frame::request::HeadTooLong;
 use actix_rt::net::TcpStream;
 use dunlincleat_status::Stage;
+use futures_util::FutureExt;
 use std::io;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// The socket of a client connection.
 pub(super) struct ClientIo {
@@ -27,6 +30,8 @@
             if !framer.output().is_empty() {
                 let part = framer.output().len().min(buf.remaining());
                 buf.put_slice(&framer.output().split_to(part));
+                framer.release_empty_buffers();
+                self.state.memory.set(MemoryUse::Input, framer.held_bytes());
                 return Poll::Ready(Ok(()));
             }
             if framer.parse_input() == Err(HeadTooLong) {
@@ -45,7 +50,15 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(0) => return Poll::Ready(Ok(())),
-                Ok(_) => {}
+                Ok(_) => self.state.received_at.set(Instant::now()),
+            }
+            if matches!(self.stream.ready(Interest::PRIORITY).now_or_never(), Some(Ok(ready)) if ready.is_read_closed())
+            {
+                self.state.set_peer_closed();
+            }
+            if !self.state.hold_input(&framer) {
+                self.state.termination.set(Some(Termination::Refused));
+                return Poll::Pending;
             }
         }
     }
@@ -53,7 +66,7 @@
     /// Reads what a client still sends whose connection is about to close; nobody parses it.
     fn read_discarded(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let unframed = self.state.framer.borrow_mut().take_unframed();
-        self.state.read_ahead_memory.set(0);
+        self.state.memory.set(MemoryUse::Input, 0);
         if !unframed.is_empty() {
             buf.put_slice(&unframed[..unframed.len().min(buf.remaining())]);
             return Poll::Ready(Ok(()));
@@ -137,7 +150,7 @@
 impl AsyncWrite for ClientIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let state = &self.state;
-        state.unsent_memory.set(buf.len());
+        state.memory.set(MemoryUse::Response, buf.len());
         loop {
             match self.stream.poll_write_ready(cx) {
                 Poll::Ready(ready) => ready?,
@@ -150,7 +163,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => {
                     let unsent = result.as_ref().map_or(0, |count| buf.len() - count);
-                    state.unsent_memory.set(unsent);
+                    state.memory.set(MemoryUse::Response, unsent);
                     state.response_bytes_taken(unsent > 0);
                     if unsent == 0 && state.read_waits_for_write.take() {
                         state.wake.notify_one();
--- a/crates/http/src/front/clients.rs
+++ b/crates/http/src/front/clients.rs
@@ -1,6 +1,6 @@
 //! Client connections: their phases, deadlines and eviction.
 
-use super::memory::{MemoryBudget, MemoryShare};
+use super::memory::{ConnectionMemory, MemoryBudget, MemoryUse};
 use crate::frame::request::RequestFramer;
 use crate::options::HttpOptions;
 use actix_rt::net::TcpStream;
@@ -9,7 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::fmt::{self, Display, Formatter};
 use std::io;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
@@ -19,6 +19,12 @@
 const EVICT_IDLE_AFTER: Duration = Duration::from_secs(2);
 /// At the connection limit, the age from which a connection without a complete request may be evicted.
 const EVICT_INCOMPLETE_AFTER: Duration = Duration::from_millis(200);
+/// At a shortage, the time without a byte from which a connection with an incomplete request may be evicted.
+const EVICT_STALLED_REQUEST_AFTER: Duration = Duration::from_millis(200);
+/// At a shortage, the time without a byte from which a connection whose body is streamed to a server may be evicted.
+const EVICT_STALLED_UPLOAD_AFTER: Duration = Duration::from_secs(1);
+/// At a shortage, the time without a byte from which a connection whose client takes no response may be evicted.
+const EVICT_STALLED_RESPONSE_AFTER: Duration = Duration::from_secs(10);
 /// Maximum number of bytes buffered from a client that keeps sending while its request is processed, and read from
 /// one that was rejected.
 pub(super) const MAX_BUFFERED_BYTES: usize = 64 * 1024;
@@ -44,6 +50,19 @@
     RequestTimeout,
     /// The head of the request exceeds the limit.
     HeadTooLong,
+    /// The request is refused at a limit before it has been received completely.
+    Refused,
+    /// The handler has rejected a request that has not been received completely.
+    Rejected,
+}
+
+/// What other clients lack, so that a connection without progress is evicted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Shortage {
+    /// Memory for client connections.
+    Memory,
+    /// Places of open requests.
+    OpenRequests,
 }
 
 /// The phase of a client connection.
@@ -74,10 +93,14 @@
     pub(super) phase_bytes: Cell<usize>,
     /// Frames the requests and holds what was received ahead of the current one.
     pub(super) framer: RefCell<RequestFramer>,
-    /// The memory of what was received while a request was being processed.
-    pub(super) read_ahead_memory: MemoryShare,
-    /// The memory of the part of a response that the client has not accepted.
-    pub(super) unsent_memory: MemoryShare,
+    /// The memory of all that the connection holds.
+    pub(super) memory: ConnectionMemory,
+    /// All connections, among which one is evicted where memory is short.
+    clients: Weak<Clients>,
+    /// When the last byte was received.
+    pub(super) received_at: Cell<Instant>,
+    /// The response with which the handler has rejected a request that has not been received completely.
+    pub(super) rejection: RefCell<Vec<u8>>,
     /// The next request is read once the client has accepted the response to the last one.
     pub(super) read_waits_for_write: Cell<bool>,
     /// More was received than may be buffered, so that what follows can't be parsed any more.
@@ -90,6 +113,8 @@
     pub(super) write_blocked_since: Cell<Option<Instant>>,
     /// The request body is streamed to a server, so that the upload rate also depends on the server.
     pub(super) streams_body: Cell<bool>,
+    /// The client has closed its connection, or its sending side; bytes that it sent before may still be unread.
+    pub(super) peer_closed: Cell<bool>,
     /// The connection exceeds the limit; its requests are refused.
     pub(super) over_limit: bool,
     /// Causes the connection to be polled again.
@@ -97,21 +122,28 @@
 }
 
 impl ClientConnection {
-    pub(super) fn new(over_limit: bool, memory: &Rc<MemoryBudget>) -> ClientConnection {
+    pub(super) fn new(
+        over_limit: bool,
+        memory: &Rc<MemoryBudget>,
+        clients: Weak<Clients>,
+    ) -> ClientConnection {
         ClientConnection {
             phase: Cell::new(Phase::Connected),
             phase_since: Cell::new(Instant::now()),
             closing_since: Cell::default(),
             phase_bytes: Cell::default(),
             framer: RefCell::default(),
-            read_ahead_memory: memory.share(),
-            unsent_memory: memory.share(),
+            memory: ConnectionMemory::new(memory),
+            clients,
+            received_at: Cell::new(Instant::now()),
+            rejection: RefCell::default(),
             read_waits_for_write: Cell::default(),
             read_ahead_full: Cell::default(),
             discarded: Cell::default(),
             termination: Cell::default(),
             write_blocked_since: Cell::default(),
             streams_body: Cell::default(),
+            peer_closed: Cell::default(),
             over_limit,
             wake: Notify::new(),
         }
@@ -126,7 +158,10 @@
         if phase == Phase::Idle {
             self.framer.borrow_mut().expect_request();
         }
-        self.read_ahead_memory.set(self.framer.borrow().unframed_bytes());
+        if matches!(phase, Phase::Idle | Phase::Draining) {
+            self.memory.set(MemoryUse::Body, 0);
+        }
+        self.memory.set(MemoryUse::Input, self.framer.borrow().held_bytes());
         // Nothing was read for actix-http meanwhile.
         if before == Phase::Processing || matches!(phase, Phase::Idle | Phase::Draining) {
             self.wake.notify_one();
@@ -140,6 +175,35 @@
             self.wake.notify_one();
         }
         framer.body_consumed(bytes);
+        self.memory.set(MemoryUse::Input, framer.held_bytes());
+    }
+
+    /// Holds memory for a use, unless there is none; a connection that makes no progress may be evicted for it. Returns
+    /// whether it is held.
+    pub(super) fn hold(&self, memory_use: MemoryUse, bytes: usize) -> bool {
+        loop {
+            if self.memory.try_set(memory_use, bytes) {
+                return true;
+            }
+            let evicted = self
+                .clients
+                .upgrade()
+                .is_some_and(|clients| clients.evict_stalled(Shortage::Memory, Instant::now()));
+            if !evicted {
+                return false;
+            }
+        }
+    }
+
+    /// Accounts for what the framer holds; returns whether there is memory for it.
+    pub(super) fn hold_input(&self, framer: &RequestFramer) -> bool {
+        let held = framer.held_bytes();
+        // Part of the request may already be on its way to a server.
+        if self.streams_body.get() {
+            self.memory.set(MemoryUse::Input, held);
+            return true;
+        }
+        self.hold(MemoryUse::Input, held)
     }
 
     /// Whether all bytes of the current request have been received.
@@ -178,15 +242,16 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Ok(0) | Err(_) => self.termination.set(Some(Termination::ClientLeft)),
                 Ok(n) => {
+                    self.received_at.set(Instant::now());
                     let mut framer = self.framer.borrow_mut();
-                    let held = framer.unframed_bytes() + n;
-                    self.read_ahead_memory.set(framer.unframed_bytes());
-                    let fits = held <= MAX_BUFFERED_BYTES && self.read_ahead_memory.try_add(n);
+                    let fits = framer.unframed_bytes() + n <= MAX_BUFFERED_BYTES
+                        && self.hold(MemoryUse::Input, framer.held_bytes() + n);
                     if self.read_ahead_full.get() || !fits {
                         self.read_ahead_full.set(true);
                         self.discarded.set(self.discarded.get() + n);
                     } else {
                         framer.input_buffer().extend_from_slice(&received[..n]);
+                        self.memory.set(MemoryUse::Input, framer.held_bytes());
                     }
                 }
             }
@@ -239,6 +304,12 @@
         Duration::from_secs_f64(self.phase_bytes.get() as f64 / MIN_UPLOAD_BYTES_PER_S)
     }
 
+    /// Ends the connection with this response to a request that has not been received completely.
+    pub(super) fn reject(&self, response: Vec<u8>) {
+        self.rejection.replace(response);
+        self.terminate(Termination::Rejected);
+    }
+
     pub(super) fn request_close(&self) {
         self.closing_since.set(self.closing_since.get().or_else(|| Some(Instant::now())));
         self.wake.notify_one();
@@ -274,6 +345,60 @@
         };
         (age >= min_age).then_some(EvictionRank { idle, age })
     }
+
+    /// The client has closed. Its request is withdrawn, as no answer can reach it.
+    pub(super) fn set_peer_closed(&self) {
+        self.peer_closed.set(true);
+        if self.phase.get() == Phase::Processing || self.streams_body.get() {
+            self.terminate(Termination::ClientLeft);
+        }
+    }
+
+    /// Ends the connection, unless it is being ended already.
+    pub(super) fn terminate(&self, termination: Termination) {
+        self.termination.set(self.termination.get().or(Some(termination)));
+        self.wake.notify_one();
+    }
+
+    /// How long the client has neither sent nor taken anything, where that is long enough to evict its connection and
+    /// that makes up for the shortage.
+    fn stalled_for(&self, shortage: Shortage, now: Instant) -> Option<Duration> {
+        if self.termination.get().is_some() || shortage == Shortage::Memory && self.memory.counted() == 0 {
+            return None;
+        }
+        if let Some(since) = self.write_blocked_since.get() {
+            return Some(now - since).filter(|stalled| *stalled >= EVICT_STALLED_RESPONSE_AFTER);
+        }
+        let stalled = now - self.received_at.get();
+        let waits_for_client = match (self.phase.get(), shortage) {
+            (Phase::ReadingBody, Shortage::OpenRequests) => {
+                self.streams_body.get() && stalled >= EVICT_STALLED_UPLOAD_AFTER && self.awaits_body()
+            }
+            (Phase::Connected | Phase::ReadingHead, Shortage::Memory) => {
+                stalled >= EVICT_STALLED_REQUEST_AFTER
+            }
+            (Phase::ReadingBody, Shortage::Memory) => {
+                !self.streams_body.get() && stalled >= EVICT_STALLED_REQUEST_AFTER && self.awaits_body()
+            }
+            (Phase::Connected | Phase::ReadingHead, Shortage::OpenRequests)
+            | (Phase::Processing | Phase::Idle | Phase::Draining, _) => false,
+        };
+        waits_for_client.then_some(stalled)
+    }
+
+    /// Whether more of the body may be received and has not come.
+    fn awaits_body(&self) -> bool {
+        let framer = self.framer.borrow();
+        !framer.is_complete() && !framer.is_window_closed()
+    }
+
+    /// Ends the connection for what it holds. Its memory counts as free at once: its task releases it before it does
+    /// anything else. No part of an incomplete request has run.
+    fn evict(&self) {
+        let left = self.is_write_blocked();
+        self.terminate(if left { Termination::ClientLeft } else { Termination::Refused });
+        self.memory.release_all();
+    }
 }
 
 /// How suitable a connection is for eviction; the highest rank is evicted first.
@@ -301,7 +426,7 @@
         let open =
             self.connections.borrow().values().filter(|state| state.closing_since.get().is_none()).count();
         let over_limit = open >= self.options.client_connection_limit() && !self.evict_one(Instant::now());
-        let state = Rc::new(ClientConnection::new(over_limit, &self.memory));
+        let state = Rc::new(ClientConnection::new(over_limit, &self.memory, Rc::downgrade(self)));
         let number = self.next_id.replace(self.next_id.get() + 1);
         self.connections.borrow_mut().insert(number, state.clone());
         ClientSlot { clients: self.clone(), number, state, _permit: permit }
@@ -325,6 +450,17 @@
         state.request_close();
         true
     }
+
+    /// Ends the connection that has made no progress for longest, of those that make up for the shortage; returns whether
+    /// there was one.
+    pub(super) fn evict_stalled(&self, shortage: Shortage, now: Instant) -> bool {
+        let connections = self.connections.borrow();
+        let stalled =
+            connections.values().filter_map(|state| Some((state.stalled_for(shortage, now)?, state)));
+        let Some((_, state)) = stalled.max_by_key(|(stalled, _)| *stalled) else { return false };
+        state.evict();
+        true
+    }
 }
 
 /// Number of connections in each phase, for the log.
--- a/crates/http/src/front/clients/tests.rs
+++ b/crates/http/src/front/clients/tests.rs
@@ -32,7 +32,7 @@
 #[test]
 fn connection_with_the_rest_of_a_response_is_not_idle() {
     let options = options();
-    let client = ClientConnection::new(false, &MemoryBudget::new(1 << 20));
+    let client = ClientConnection::new(false, &MemoryBudget::new(1 << 20), Weak::new());
     client.response_waits();
     for phase in [Phase::Idle, Phase::Draining] {
         client.enter(phase);
@@ -51,7 +51,7 @@
 #[test]
 fn client_is_given_up_when_it_takes_nothing_of_its_response() {
     let options = options();
-    let client = ClientConnection::new(false, &MemoryBudget::new(1 << 20));
+    let client = ClientConnection::new(false, &MemoryBudget::new(1 << 20), Weak::new());
     client.enter(Phase::Processing);
     assert_eq!(client.deadline(&options, Stage::Active), None);
     client.response_waits();
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -6,14 +6,14 @@
 mod uri;
 
 use crate::Answer;
-use actix_http::body::{BodyStream, BoxBody, SizedStream};
+use actix_http::body::{BodyStream, BoxBody, MessageBody, SizedStream};
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, Response, StatusCode};
-use body::StreamingBody;
 pub use body::{
     BodyAborted, BodyChunk, BodyChunks, BodyData, BodyReader, LimitedBody, RemainingBody, ResponseBody,
-    read_body,
+    read_body, read_body_of_length,
 };
+use body::{CompleteBody, StreamingBody};
 use bytes::Bytes;
 use dunlincleat::api::{Class, Effect, Span};
 use dunlincleat_engine::RequestInfo;
@@ -245,7 +245,7 @@
     match answer {
         Answer::Served(ResponseBody { data, content_type }) => {
             let body = match data {
-                BodyData::Complete(body) => BoxBody::new(body),
+                BodyData::Complete(body) => BoxBody::new(CompleteBody(body)),
                 BodyData::Streaming { first, rest, length } => {
                     BoxBody::new(StreamingBody { first, rest, length, ended: false })
                 }
@@ -268,6 +268,26 @@
     }
 }
 
+/// Encodes a response as the bytes that end a connection; gives it back if its body has no bytes at hand.
+pub fn encode_rejection(response: Response<BoxBody>) -> Result<Vec<u8>, Response<BoxBody>> {
+    let (response, body) = response.into_parts();
+    let body = match body.try_into_bytes() {
+        Ok(body) => body,
+        Err(body) => return Err(response.set_body(body)),
+    };
+    let mut bytes =
+        format!("HTTP/1.1 {}\r\nContent-Length: {}\r\n", response.status(), body.len()).into_bytes();
+    for (name, value) in response.headers() {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"Connection: close\r\n\r\n");
+    bytes.extend_from_slice(&body);
+    Ok(bytes)
+}
+
 impl From<BodyAborted> for Malformed {
     fn from(BodyAborted: BodyAborted) -> Malformed {
         Malformed { status: StatusCode::BAD_REQUEST, reason: "the body broke off", counts_as_failed: false }
--- a/crates/http/src/message/body.rs
+++ b/crates/http/src/message/body.rs
@@ -7,6 +7,7 @@
 use futures_util::stream::LocalBoxStream;
 use futures_util::{Stream, StreamExt};
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -119,6 +120,28 @@
     }
 }
 
+/// A complete body, handed to actix-http in parts: its write buffer keeps the size of the largest part.
+pub(super) struct CompleteBody(pub(super) Bytes);
+
+/// The size of these parts, in bytes.
+const BODY_PART_BYTES: usize = 8 * 1024;
+
+impl MessageBody for CompleteBody {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.0.len() as u64)
+    }
+
+    fn poll_next(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Option<Result<Bytes, Infallible>>> {
+        if self.0.is_empty() {
+            return Poll::Ready(None);
+        }
+        let part = self.0.len().min(BODY_PART_BYTES);
+        Poll::Ready(Some(Ok(self.0.split_to(part))))
+    }
+}
+
 /// The connection broke off in the middle of a body.
 #[derive(Debug, PartialEq, Eq)]
 pub struct BodyAborted;
@@ -137,17 +160,30 @@
     chunks: &mut (impl Stream<Item = Result<Bytes, E>> + Unpin),
     limit: usize,
 ) -> Result<LimitedBody, BodyAborted> {
-    let mut body = BytesMut::new();
+    read_body_into(BytesMut::new(), chunks, limit).await
+}
+
+/// The same for a body whose length was announced: it is received into one allocation of that size.
+pub async fn read_body_of_length<E>(
+    chunks: &mut (impl Stream<Item = Result<Bytes, E>> + Unpin),
+    limit: usize,
+    length: u64,
+) -> Result<LimitedBody, BodyAborted> {
+    let capacity = usize::try_from(length).unwrap_or(usize::MAX).min(limit);
+    read_body_into(BytesMut::with_capacity(capacity), chunks, limit).await
+}
+
+async fn read_body_into<E>(
+    mut body: BytesMut,
+    chunks: &mut (impl Stream<Item = Result<Bytes, E>> + Unpin),
+    limit: usize,
+) -> Result<LimitedBody, BodyAborted> {
     while body.len() <= limit {
         let Some(chunk) = chunks.next().await else {
             return Ok(LimitedBody { bytes: body.freeze(), complete: true });
         };
         let chunk = chunk.map_err(|_| BodyAborted)?;
-        if body.is_empty() {
-            body = BytesMut::from(chunk);
-        } else {
-            body.extend_from_slice(&chunk);
-        }
+        body.extend_from_slice(&chunk);
     }
     Ok(LimitedBody { bytes: body.freeze(), complete: false })
 }
--- a/crates/http/src/options.rs
+++ b/crates/http/src/options.rs
@@ -6,6 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Memory of a client connection that holds nothing, in bytes: its task, the buffers and the state of actix-http.
+pub const CLIENT_CONNECTION_BYTES: usize = 32 * 1024;
+
 /// Limits and timeouts of client connections, server connections and discovery calls.
 #[derive(Clone, Debug)]
 pub struct HttpOptions {
@@ -23,7 +26,7 @@
     pub max_requests: usize,
     /// The memory limit of the process, in bytes.
     pub memory_limit_bytes: usize,
-    /// Maximum memory held for clients beside open requests, in bytes.
+    /// Maximum memory held for client connections, in bytes.
     pub max_client_memory_bytes: usize,
     /// Time after which an idle server connection is closed.
     pub server_idle_timeout: Duration,
--- a/crates/sidecar/src/config/section.rs
+++ b/crates/sidecar/src/config/section.rs
@@ -5,7 +5,7 @@
 use anyhow::{Context, Result, bail};
 use dunlincleat::api::Span;
 use dunlincleat_directory::{Backoff, Interest, Timing};
-use dunlincleat_http::options::HttpOptions;
+use dunlincleat_http::options::{CLIENT_CONNECTION_BYTES, HttpOptions};
 use dunlincleat_settings::InstanceSettings;
 use serde::Deserialize;
 use serde_json::{Map, Value};
@@ -18,9 +18,10 @@
 const RESERVED_DESCRIPTORS: usize = 40;
 /// Maximum total length of the service names in bytes: they are sent in the head of each discovery call.
 const MAX_SERVICE_NAME_BYTES: usize = 16 << 10;
-/// The part of the memory limit for what is held for clients beside open requests: bodies that are being received, bytes
-/// received ahead and responses that are not read.
-const CLIENT_MEMORY_DIVISOR: usize = 8;
+/// The part of the memory limit for client connections: all that they hold from accept to close.
+const CLIENT_MEMORY_DIVISOR: usize = 2;
+/// The part of the memory limit for the responses of open requests, each held a second time in a buffer.
+const RESPONSE_MEMORY_DIVISOR: u64 = 4;
 
 /// The object `limits` of the configuration.
 #[derive(Deserialize)]
@@ -68,7 +69,13 @@
         if half == 0 {
             bail!("EDGE_CONFIG: {source}: {descriptors} is under {}", reserved + 2);
         }
-        let client_connections = section.number("client_connections", half, 1)? as usize;
+        let memory_limit_bytes =
+            usize::try_from(limits.memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20);
+        let max_client_memory_bytes = memory_limit_bytes / CLIENT_MEMORY_DIVISOR;
+        // A quarter of that is left for what the connections hold.
+        let connections_in_memory = max_client_memory_bytes / 4 * 3 / CLIENT_CONNECTION_BYTES;
+        let default_clients = half.min(connections_in_memory.max(1) as u64);
+        let client_connections = section.number("client_connections", default_clients, 1)? as usize;
         let server_connections = section.number("server_connections", half, 1)? as usize;
         if client_connections + server_connections + reserved > descriptors {
             bail!(
@@ -87,16 +94,14 @@
             configured => configured,
         };
         let body_bytes = section.number("body_bytes", 64 * 1024, 1)?;
-        // Half of the memory is for bodies: those of a request and its response, each held a second time in a buffer.
-        let requests_in_memory = (limits.memory_mb.saturating_mul(1 << 20) / 2 / (4 * body_bytes)).max(1);
-        let memory_limit_bytes =
-            usize::try_from(limits.memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20);
+        let response_memory = limits.memory_mb.saturating_mul(1 << 20) / RESPONSE_MEMORY_DIVISOR;
+        let requests_in_memory = (response_memory / (2 * body_bytes)).max(1);
         let requests = settings.max_open.unwrap_or(u64::MAX).min(half).min(requests_in_memory);
         let options = HttpOptions {
             max_body_bytes: body_bytes as usize,
             max_requests: section.number("requests", requests, 1)? as usize,
             memory_limit_bytes,
-            max_client_memory_bytes: memory_limit_bytes / CLIENT_MEMORY_DIVISOR,
+            max_client_memory_bytes,
             max_client_connections: client_connections,
             client_request_timeout: section.duration("client_request_ms", 2600, 1)?,
             client_idle_timeout: section.duration("client_idle_ms", 3000, 2000)?,
