A pause of a response that may be long no longer cuts it off

Cause: a response that had begun and brought no byte for a quarter of the tightest aim counted as invalid, on the assumption that servers write in one go. The head alone started that clock.

Change: the clock runs only where a pause can tell something: within a head, and within a body whose announced length is buffered. A response that may be long is passed on at the latest after the buffering time, or 10 ms before the deadline, with what it has brought by then, be that its head; from there on 10 s without a byte end it, as before.

A test asked for the opposite and is replaced: of invalid_response_ends_its_attempt_before_the_deadline two cases had an unknown length and paused, just as the operators' sound ones did ("cutting off what the endpoint still gives [...] loses the request"), so that nothing tells them apart in time. The new test asks of each class that the response begins in time, runs once and shows that it is not whole. What that costs: a spoilt response of unknown length that pauses is not repeated any more.

Failed on the way: to cut off once and repeat, tolerating the second pause.

--- a/crates/http/src/frame.rs
+++ b/crates/http/src/frame.rs
@@ -22,17 +22,28 @@
 /// Maximum number of 1xx responses before the final one.
 const MAX_INFORMATIONAL_RESPONSES: usize = 16;
 
+/// The length of the body of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyLength {
+    /// Its head tells it, in bytes.
+    Announced(u64),
+    /// It shows only at the end.
+    Unknown,
+}
+
 /// Frames the responses of one connection, one per request.
 #[derive(Debug)]
 pub struct ResponseFramer {
     framing: Framing,
     informational: usize,
+    /// The announced length of the body of the final response.
+    length: Option<u64>,
 }
 
 impl ResponseFramer {
     /// Creates a framer that expects no response yet.
     pub fn new() -> ResponseFramer {
-        ResponseFramer { framing: Framing::new(State::Complete, usize::MAX), informational: 0 }
+        ResponseFramer { framing: Framing::new(State::Complete, usize::MAX), informational: 0, length: None }
     }
 
     /// Expects the response to a request that is being sent.
@@ -60,6 +71,19 @@
         }
     }
 
+    /// What is known of the length of the final response, once its head was received.
+    pub fn body_length(&self) -> Option<BodyLength> {
+        match self.framing.state {
+            State::Head | State::Complete => None,
+            State::FixedLength(_) => self.length.map(BodyLength::Announced),
+            State::UntilClose
+            | State::ChunkSize
+            | State::ChunkData(_)
+            | State::ChunkEnd
+            | State::Trailers => Some(BodyLength::Unknown),
+        }
+    }
+
     /// Handles the end of the connection. Returns whether it is the end of the body, which is then complete.
     pub fn connection_closed(&mut self) -> bool {
         let until_close = self.framing.state == State::UntilClose;
@@ -117,6 +141,7 @@
             return Ok(Some(State::Head));
         }
         let next = body_framing(response.headers, status)?;
+        self.length = if let State::FixedLength(length) = next { Some(length) } else { None };
         self.framing.forward(length);
         if next == State::UntilClose {
             // awc reads until the connection closes only for HTTP/1.0, where that is the rule. The version is at the
--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -162,6 +162,7 @@
                 stall_timer: None,
                 write_stall_timer: None,
                 stall_timeout: connector.context.options.response_stall_timeout,
+                max_buffered_bytes: connector.context.options.max_body_bytes as u64,
                 gate: connector.gate,
                 state: connector.state,
                 metrics: connector.context.metrics.clone(),
--- a/crates/http/src/line/server_io.rs
+++ b/crates/http/src/line/server_io.rs
@@ -1,7 +1,7 @@
 //! The socket of a server connection, as awc reads and writes it.
 
 use super::{ConnectionState, NotSentError, SendGate};
-use crate::frame::{InvalidMessage, ResponseFramer};
+use crate::frame::{BodyLength, InvalidMessage, ResponseFramer};
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use dunlincleat_status::Metrics;
 use std::future::Future;
@@ -31,6 +31,8 @@
     /// The timer within which the server has to accept more of the request.
     pub(super) write_stall_timer: Option<Pin<Box<Sleep>>>,
     pub(super) stall_timeout: Duration,
+    /// The length up to which a response is buffered.
+    pub(super) max_buffered_bytes: u64,
     pub(super) gate: Rc<SendGate>,
     pub(super) state: Rc<ConnectionState>,
     pub(super) metrics: Arc<Metrics>,
@@ -52,10 +54,11 @@
     /// Fails a response that has started and makes no progress. Waiting for its deadline instead left a request that
     /// could be repeated too little time for that.
     fn poll_stalled(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if !self.framer.has_started() {
+        let streams = self.state.streaming.get();
+        if !self.framer.has_started() || !streams && self.may_pause() {
             return Poll::Pending;
         }
-        let timeout = if self.state.streaming.get() { STREAM_STALL_TIMEOUT } else { self.stall_timeout };
+        let timeout = if streams { STREAM_STALL_TIMEOUT } else { self.stall_timeout };
         let due = *self.waiting_since.get_or_insert_with(Instant::now) + timeout;
         let timer = self.stall_timer.get_or_insert_with(|| Box::pin(sleep_until(due)));
         if timer.deadline() != due {
@@ -65,6 +68,16 @@
         self.fail_invalid(InvalidMessage("the response stalled"))
     }
 
+    /// Whether a pause of the response tells nothing: it is long, or may be, and its server may write it slowly. It is
+    /// streamed soon.
+    fn may_pause(&self) -> bool {
+        match self.framer.body_length() {
+            Some(BodyLength::Announced(length)) => length > self.max_buffered_bytes,
+            Some(BodyLength::Unknown) => true,
+            None => false,
+        }
+    }
+
     /// Fails a request whose server stops reading the body while the client still sends it: no deadline runs before
     /// the last byte, so that the attempt, its connection and its client would be held for as long as both stay.
     fn poll_write_stalled(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
--- a/crates/http/src/peer/exchange.rs
+++ b/crates/http/src/peer/exchange.rs
@@ -7,7 +7,6 @@
     BodyAborted, BodyChunk, BodyChunks, BodyData, LimitedBody, RemainingBody, Reply, Request, ResponseBody,
     probe_uri, read_body,
 };
-use crate::options::HttpOptions;
 use crate::write_progress::WriteProgress;
 use crate::{Completion, Handle};
 use actix_http::error::PayloadError;
@@ -125,6 +124,8 @@
 /// How long the start of a response of unknown length is buffered, relative to the stall timeout. A response that
 /// breaks off or stalls while it is buffered can be retried.
 const BUFFER_TIME_FACTOR: f64 = 4.0 / 3.0;
+/// How long before its deadline a response that may be long is streamed at the latest.
+const STREAM_BEFORE_DEADLINE: Duration = Duration::from_millis(10);
 /// Number of response chunks in transit to the client.
 const STREAM_CHANNEL_CAPACITY: usize = 1;
 
@@ -171,7 +172,7 @@
             task.record_response(response.status(), response.headers());
         }
         let buffered =
-            buffer_response(response, reply.length, &context.connections.options, &connection.state).await?;
+            buffer_response(response, reply.length, deadlines.until, context, &connection.state).await?;
         Ok::<_, Status>((reply, buffered))
     };
     let exchange = async {
@@ -261,23 +262,23 @@
 }
 
 /// Buffers a response until its end, so that one that breaks off can be retried, or until it has to be streamed: from
-/// its first bytes if its announced length exceeds the limit, otherwise once it exceeds the limit or the buffering
-/// time.
+/// its first bytes if its announced length exceeds the limit, otherwise once it exceeds the limit. One that may be long
+/// is streamed after the buffering time, whatever it has brought until then.
 async fn buffer_response(
     mut response: awc::ClientResponse,
     length: Option<u64>,
-    options: &HttpOptions,
+    deadline: Instant,
+    context: &PeerContext,
     state: &ConnectionState,
 ) -> Result<BufferedResponse, Status> {
-    let limit = if length.is_some_and(|length| length > options.max_body_bytes as u64) {
-        0
-    } else {
-        options.max_body_bytes
-    };
-    let until = Instant::now() + options.response_stall_timeout.mul_f64(BUFFER_TIME_FACTOR);
+    let options = &context.connections.options;
+    let is_long = length.is_some_and(|length| length > options.max_body_bytes as u64);
+    let limit = if is_long { 0 } else { options.max_body_bytes };
+    let buffered_until = Instant::now() + options.response_stall_timeout.mul_f64(BUFFER_TIME_FACTOR);
+    let until = buffered_until.min(deadline - STREAM_BEFORE_DEADLINE);
     let mut first = BytesMut::new();
     while first.len() <= limit {
-        let chunk = if length.is_some() || first.is_empty() {
+        let chunk = if length.is_some() && !is_long {
             response.next().await
         } else {
             match timeout_at(until, response.next()).await {
--- a/crates/sidecar/tests/answers.rs
+++ b/crates/sidecar/tests/answers.rs
@@ -4,8 +4,14 @@
 
 use common::*;
 use serde_json::json;
+use std::io::Read;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long the clients of these tests wait.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(900);
 
 fn complete_response(body: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
@@ -44,8 +50,6 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\nand so on",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\ntoo little",
-        "HTTP/1.1 200 OK\r\n\r\nno length at all",
         "HTTP/1.1 101 Switching Protocols\r\n\r\n",
         &format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(300_000)),
     ] {
@@ -67,6 +71,38 @@
     }
 }
 
+/// A response of unknown length that pauses may be long and slowly written, which must not be cut off. It is passed on
+/// in time and once, and where it was spoilt its client sees that it is not whole.
+#[test]
+fn paused_response_of_unknown_length_is_passed_on_before_the_deadline() {
+    for answer in [
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\ntoo little",
+        "HTTP/1.1 200 OK\r\n\r\nno length at all",
+        "HTTP/1.1 200 OK\r\n\r\n",
+    ] {
+        thread::scope(|scope| {
+            for request in [read_request("r1"), once_request("r1"), pay_request("r1")] {
+                scope.spawn(move || assert_passed_on_once(answer, &request));
+            }
+        });
+    }
+}
+
+fn assert_passed_on_once(answer: &str, request: &str) {
+    let setup = start_with_invalid_response(answer);
+    let mut client = setup.sidecar.connect();
+    let sent = Instant::now();
+    client.send(request);
+    let mut received = vec![0; 1];
+    client.stream.read_exact(&mut received).unwrap();
+    assert!(sent.elapsed() < CLIENT_TIMEOUT, "{answer}: the response began after {:?}", sent.elapsed());
+    client.stream.read_to_end(&mut received).unwrap();
+    let received = String::from_utf8(received).unwrap();
+    assert!(received.starts_with("HTTP/1.1 200 ") && !received.ends_with("\r\n0\r\n\r\n"), "{received}");
+    assert!(received.to_lowercase().contains("transfer-encoding: chunked"), "{received}");
+    assert_eq!(setup.attempts.load(Ordering::SeqCst), 1, "{answer}");
+}
+
 #[test]
 fn invalid_responses_do_not_exclude_a_server() {
     // Every other response is invalid. Counted as broken connections, these excluded the only server for a
--- a/crates/sidecar/tests/slow_streams.rs
+++ b/crates/sidecar/tests/slow_streams.rs
@@ -71,3 +71,67 @@
     }
     assert_eq!(read_body_bytes(&mut stream, received, LONG_RESPONSE_BYTES), LONG_RESPONSE_BYTES);
 }
+
+/// How a server tells the end of its response.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunked,
+    UntilClose,
+}
+
+/// Writes a response of `pieces` pieces with a pause before each.
+fn write_in_pieces(stream: &mut TcpStream, framing: Framing, piece: usize, pieces: usize, pause: Duration) {
+    let head = match framing {
+        Framing::Length => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", piece * pieces),
+        Framing::Chunked => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned(),
+        Framing::UntilClose => "HTTP/1.1 200 OK\r\n\r\n".to_owned(),
+    };
+    let _ = stream.write_all(head.as_bytes());
+    let bytes = match framing {
+        Framing::Length | Framing::UntilClose => vec![b'x'; piece],
+        Framing::Chunked => format!("{piece:x}\r\n{}\r\n", "x".repeat(piece)).into_bytes(),
+    };
+    for _ in 0..pieces {
+        thread::sleep(pause);
+        if stream.write_all(&bytes).is_err() {
+            return;
+        }
+    }
+    if matches!(framing, Framing::Chunked) {
+        let _ = stream.write_all(b"0\r\n\r\n");
+    }
+}
+
+/// The number of bytes `x` that a client is served, which is that of the body, however it is framed.
+fn served_body_bytes(sidecar: &Sidecar, request: &str) -> usize {
+    let mut stream = sidecar.connect().stream;
+    stream.write_all(request.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n").as_bytes()).unwrap();
+    let mut received = Vec::new();
+    let _ = stream.read_to_end(&mut received);
+    let head = received.windows(4).position(|four| four == b"\r\n\r\n").map_or(0, |at| at + 4);
+    if !received.starts_with(b"HTTP/1.1 200 ") {
+        return 0;
+    }
+    received[head..].iter().filter(|byte| **byte == b'x').count()
+}
+
+/// Guards against a long response cut off within a pause of its server, which was taken for a stall: the body came
+/// slowly in pieces, or long after the head.
+#[test]
+fn long_response_is_not_cut_off_while_its_server_writes_slowly() {
+    for framing in [Framing::Length, Framing::Chunked, Framing::UntilClose] {
+        for (piece, pieces, pause) in [(8_000, 12, 125), (60_000, 3, 500), (90_000, 1, 1_200)] {
+            let pause = Duration::from_millis(pause);
+            let server = raw_server(move |mut stream| {
+                let _ = stream.read(&mut [0; 4096]);
+                write_in_pieces(&mut stream, framing, piece, pieces, pause);
+            });
+            let sidecar = Setup::new(vec![entry("s1", server, "up")]).start();
+            for request in [once_request("r1"), read_request("r2"), pay_request("r3")] {
+                let served = served_body_bytes(&sidecar, &request);
+                assert_eq!(served, piece * pieces, "{framing:?}, {piece} bytes each {pause:?}: {request}");
+            }
+        }
+    }
+}
