The time of a long upload counts from when its client may have sent the last byte

Cause: the deadline ran from the last byte that was handed on to the server. The client had long sent it: it waited in the buffers of the system, as the front reads no faster than the server takes.

Change: UploadClock tells the earliest time at which the client may have sent its last byte: the last time there was nothing to read, or later, where more came since than the system holds, or more is announced. The deadline of the attempt runs from there, and ends it also where the body is still being sent. The receive buffer of client connections is set to 256 KiB, and the send buffer of server connections to 128 KiB, so that a server that reads steadily is seen to.

--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -7,11 +7,13 @@
 mod receiving;
 mod streaming;
 
+use crate::line::SEND_BUFFER_BYTES;
 use crate::message::{
     BodyData, HEALTH_PATH, Malformed, RemainingBody, Request, ResponseBody, class_of, encode_answer,
     encode_rejection,
 };
 use crate::options::HttpOptions;
+use crate::upload_clock::UploadClock;
 use crate::{Answer, Handle};
 use actix_http::body::BoxBody;
 use actix_http::error::DispatchError;
@@ -52,9 +54,8 @@
 const EXCESS_CONNECTIONS: usize = 16;
 /// Interval between checks of the deadlines of client connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
-/// Size of the send buffer of a client connection, in bytes. A larger one, which the system would choose itself, tells
-/// only every some megabytes that the client has taken bytes.
-const SEND_BUFFER_BYTES: usize = 128 * 1024;
+/// Size of the receive buffer of a client connection, in bytes: what waits there of a body is not known to have come.
+const RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
 /// Size of the write buffer of a client connection, in bytes, to which one part of a body is added at most.
 const WRITE_BUFFER_BYTES: usize = 8 * 1024;
 /// Time a client whose request was not received in time has to read the response and to close; what it still sends
@@ -252,6 +253,9 @@
     if let Err(error) = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
         tracing::debug!("cannot set the send buffer of a client connection: {error}");
     }
+    if let Err(error) = socket2::SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        tracing::debug!("cannot set the receive buffer of a client connection: {error}");
+    }
     let state = slot.state.clone();
     let mut stage = front.stage.clone();
     let stream = Rc::new(stream);
@@ -502,9 +506,10 @@
         let active = self.active.borrow().clone();
         let decoded = Request::decode(request.head(), &active.site, active.rules.as_deref())?;
         let length = Request::content_length(request.head());
-        if let Some(state) = state {
-            state.enter(Phase::ReadingBody);
-        }
+        let clock = match state {
+            Some(state) => state.start_body(length),
+            None => Rc::new(UploadClock::new(length, Instant::now())),
+        };
         let mut payload = request.take_payload();
         let limit = self.options.max_body_bytes;
         let body = receive_body(&mut payload, state, limit, length).await?;
@@ -559,7 +564,7 @@
             if let Some(state) = state {
                 state.streams_body.set(true);
             }
-            Some(RemainingBody::new(upload_chunks(payload, state.cloned()), length))
+            Some(RemainingBody::new(upload_chunks(payload, state.cloned()), length, clock))
         };
         // The deadline runs from the last byte received: counted from the first one, a slow upload left no time for
         // the servers.
--- a/crates/http/src/front/client_io.rs
+++ b/crates/http/src/front/client_io.rs
@@ -45,12 +45,18 @@
             if framer.is_complete() || framer.is_window_closed() || self.state.read_ahead_full.get() {
                 return Poll::Pending;
             }
-            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.poll_read_ready(cx) {
+                Poll::Ready(ready) => ready?,
+                Poll::Pending => {
+                    self.state.upload_clock.borrow().caught_up(Instant::now());
+                    return Poll::Pending;
+                }
+            }
             match self.stream.try_read_buf(framer.input_buffer()) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(0) => return Poll::Ready(Ok(())),
-                Ok(_) => self.state.received_at.set(Instant::now()),
+                Ok(count) => self.state.bytes_received(count),
             }
             if matches!(self.stream.ready(Interest::PRIORITY).now_or_never(), Some(Ok(ready)) if ready.is_read_closed())
             {
--- a/crates/http/src/front/clients.rs
+++ b/crates/http/src/front/clients.rs
@@ -3,6 +3,7 @@
 use super::memory::{ConnectionMemory, MemoryBudget, MemoryUse};
 use crate::frame::request::RequestFramer;
 use crate::options::HttpOptions;
+use crate::upload_clock::UploadClock;
 use actix_rt::net::TcpStream;
 use dunlincleat_status::Stage;
 use rustc_hash::FxHashMap;
@@ -97,6 +98,8 @@
     pub(super) memory: ConnectionMemory,
     /// All connections, among which one is evicted where memory is short.
     clients: Weak<Clients>,
+    /// When the last byte of the current body may have been sent.
+    pub(super) upload_clock: RefCell<Rc<UploadClock>>,
     /// When the last byte was received.
     pub(super) received_at: Cell<Instant>,
     /// The response with which the handler has rejected a request that has not been received completely.
@@ -135,6 +138,7 @@
             framer: RefCell::default(),
             memory: ConnectionMemory::new(memory),
             clients,
+            upload_clock: RefCell::new(Rc::new(UploadClock::new(None, Instant::now()))),
             received_at: Cell::new(Instant::now()),
             rejection: RefCell::default(),
             read_waits_for_write: Cell::default(),
@@ -168,6 +172,21 @@
         }
     }
 
+    /// The body of a request is received from here on; returns the clock that follows it.
+    pub(super) fn start_body(&self, length: Option<u64>) -> Rc<UploadClock> {
+        let clock = Rc::new(UploadClock::new(length, Instant::now()));
+        self.upload_clock.replace(clock.clone());
+        self.enter(Phase::ReadingBody);
+        clock
+    }
+
+    /// Bytes were received.
+    pub(super) fn bytes_received(&self, count: usize) {
+        let now = Instant::now();
+        self.received_at.set(now);
+        self.upload_clock.borrow().received(count, now);
+    }
+
     /// Part of the body of the request was consumed, so that more may be read.
     pub(super) fn body_consumed(&self, bytes: usize) {
         let mut framer = self.framer.borrow_mut();
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod message;
 pub mod options;
 pub mod peer;
+mod upload_clock;
 mod write_progress;
 
 use std::rc::Rc;
--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -29,6 +29,10 @@
 /// Time an idle connection that is closed at the limit has to return its permit.
 const IDLE_RELEASE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Size of the send buffer of a connection, in bytes. A larger one, which the system would choose itself, tells only every
+/// some megabytes that the other side has taken bytes.
+pub const SEND_BUFFER_BYTES: usize = 128 * 1024;
+
 /// Why a request was not sent, for a local reason that is not the server's fault.
 #[derive(Debug)]
 pub struct NotSentError(pub &'static str);
@@ -152,6 +156,9 @@
             })?;
             let stream = TcpStream::connect(endpoint).await.map_err(ConnectError::Io)?;
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
+            if let Err(error) = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
+                tracing::debug!("cannot set the send buffer of a server connection: {error}");
+            }
             let stream = Rc::new(stream);
             *connector.state.stream.borrow_mut() = Rc::downgrade(&stream);
             let framer = ResponseFramer::new();
--- a/crates/http/src/message/body.rs
+++ b/crates/http/src/message/body.rs
@@ -1,5 +1,6 @@
 //! Bodies of requests and responses.
 
+use crate::upload_clock::UploadClock;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::error::PayloadError;
 use actix_http::header::HeaderValue;
@@ -54,14 +55,16 @@
     /// The source of the chunks.
     chunks: RefCell<BodyChunks>,
     claimed: Cell<bool>,
+    /// When its last byte may have been sent.
+    pub clock: Rc<UploadClock>,
     /// The length of the whole body, if announced.
     pub length: Option<u64>,
 }
 
 impl RemainingBody {
     /// Creates the rest of a body of the given total length.
-    pub fn new(chunks: BodyChunks, length: Option<u64>) -> RemainingBody {
-        RemainingBody { chunks: RefCell::new(chunks), claimed: Cell::new(false), length }
+    pub fn new(chunks: BodyChunks, length: Option<u64>, clock: Rc<UploadClock>) -> RemainingBody {
+        RemainingBody { chunks: RefCell::new(chunks), claimed: Cell::new(false), clock, length }
     }
 
     /// Whether an attempt has claimed it, so that no other can send it any more.
--- a/crates/http/src/peer/exchange.rs
+++ b/crates/http/src/peer/exchange.rs
@@ -7,6 +7,7 @@
     BodyAborted, BodyChunk, BodyChunks, BodyData, LimitedBody, RemainingBody, Reply, Request, ResponseBody,
     probe_uri, read_body,
 };
+use crate::upload_clock::UploadClock;
 use crate::write_progress::WriteProgress;
 use crate::{Completion, Handle};
 use actix_http::error::PayloadError;
@@ -92,6 +93,8 @@
     upload: RefCell<Option<UploadGuard>>,
     /// When the last byte was handed to awc.
     completed_at: Cell<Option<Instant>>,
+    /// When the last byte may have been sent by the client; `None` if the body was complete.
+    clock: Option<Rc<UploadClock>>,
 }
 
 impl RequestBody {
@@ -161,6 +164,7 @@
     let body = Rc::new(RequestBody {
         upload: RefCell::new(rest.is_some().then(|| UploadGuard::new(attempt, context))),
         completed_at: Cell::new(None),
+        clock: rest.as_ref().map(|rest| rest.clock.clone()),
     });
     let buffered = request.buffered_body().clone();
     let chunks = rest.map(|rest| body.clone().into_chunks(buffered, rest, connection.state.clone()));
@@ -219,17 +223,21 @@
     Status::ConnectFailed
 }
 
-/// Completes when the deadline has passed; after an upload, it is `left` after the last byte of the body.
+/// Completes when the deadline has passed; for a body that is uploaded, it is `left` after the earliest time at which
+/// the client may have sent its last byte, even if that has not been received yet.
 async fn deadline_passed(until: Instant, left: Duration, body: &RequestBody, state: &ConnectionState) {
+    let upload_deadline = || body.clock.as_ref().and_then(|clock| clock.earliest_end()).map(|end| end + left);
     while body.upload.borrow().is_some() {
         sleep(UPLOAD_POLL_INTERVAL).await;
-        if state.nothing_sent() && Instant::now() >= until {
+        let now = Instant::now();
+        let overdue = upload_deadline().is_some_and(|deadline| deadline <= now);
+        if (overdue || state.nothing_sent()) && until <= now {
             return;
         }
     }
     sleep_until(until).await;
-    if let Some(completed_at) = body.completed_at.get() {
-        sleep_until(completed_at + left).await;
+    if let Some(deadline) = upload_deadline() {
+        sleep_until(deadline).await;
     }
 }
 
--- a/crates/sidecar/tests/slow_streams.rs
+++ b/crates/sidecar/tests/slow_streams.rs
@@ -10,7 +10,22 @@
 
 /// Starts a server that handles each connection with this function.
 fn raw_server(handle: impl Fn(TcpStream) + Send + Sync + Clone + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    serve_on(TcpListener::bind("127.0.0.1:0").unwrap(), handle)
+}
+
+/// The same with small receive buffers, so that what it does not read is not sent either.
+fn raw_server_with_small_buffers(handle: impl Fn(TcpStream) + Send + Sync + Clone + 'static) -> SocketAddr {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(16).unwrap();
+    serve_on(TcpListener::from(socket), handle)
+}
+
+/// Receive buffer of such a server, in bytes.
+const SMALL_RECEIVE_BUFFER: usize = 4096;
+
+fn serve_on(listener: TcpListener, handle: impl Fn(TcpStream) + Send + Sync + Clone + 'static) -> SocketAddr {
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
@@ -135,3 +150,66 @@
         }
     }
 }
+
+/// Reads a request at this rate until its body is complete, then answers.
+fn read_slowly(mut stream: TcpStream, bytes_per_s: f64, body_bytes: usize) {
+    let start = Instant::now();
+    let mut total = 0;
+    let mut part = vec![0; 16_000];
+    while total < body_bytes {
+        match stream.read(&mut part) {
+            Ok(0) | Err(_) => return,
+            Ok(count) => total += count,
+        }
+        thread::sleep(Duration::from_secs_f64(total as f64 / bytes_per_s).saturating_sub(start.elapsed()));
+    }
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+}
+
+/// Sends a long upload at full speed; returns the status line and the time from the last byte sent to it.
+fn upload(sidecar: &Sidecar, id: &str, length: &str, body: &[u8]) -> (String, Duration) {
+    let mut stream = sidecar.connect().stream;
+    let head = once_request(id).replace("Content-Length: 4", length).replace("\r\n\r\nbody", "\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    // The sidecar may answer before it has read all.
+    let _ = stream.write_all(body);
+    let sent = Instant::now();
+    let mut status = [0; 12];
+    let _ = stream.read_exact(&mut status);
+    (String::from_utf8_lossy(&status).into_owned(), sent.elapsed())
+}
+
+/// The time of the clients of these tests, and by how much an answer may be late.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(900);
+const MAX_LATENESS: Duration = Duration::from_millis(500);
+
+/// Guards against a final answer seconds after its time: the client had sent its body, which waited in buffers while the
+/// server read it slowly, and its time was counted from the last byte that the server took.
+#[test]
+fn upload_that_its_server_reads_slowly_is_answered_in_time() {
+    const BODY_BYTES: usize = 5_000_000;
+    let server = raw_server_with_small_buffers(|stream| read_slowly(stream, 75_000.0, BODY_BYTES));
+    let sidecar = Setup::new(vec![entry("s1", server, "up")]).start();
+    let chunk = format!("{BODY_BYTES:x}\r\n{}\r\n0\r\n\r\n", "x".repeat(BODY_BYTES));
+    let plain = "x".repeat(BODY_BYTES);
+    let cases = [
+        ("Transfer-Encoding: chunked".to_owned(), chunk.as_bytes()),
+        (format!("Content-Length: {BODY_BYTES}"), plain.as_bytes()),
+    ];
+    for (number, (length, body)) in cases.iter().enumerate() {
+        let (status, after) = upload(&sidecar, &format!("r{number}"), length, body);
+        assert!(matches!(status.as_str(), "HTTP/1.1 502" | "HTTP/1.1 503"), "{length}: {status:?}");
+        assert!(after < CLIENT_TIMEOUT + MAX_LATENESS, "{length}: answered after {after:?}");
+    }
+}
+
+/// The other side of it: an upload that takes longer than the client's time is served while both sides make progress.
+#[test]
+fn long_upload_is_served_while_it_makes_progress() {
+    const BODY_BYTES: usize = 24 << 20;
+    let server = raw_server(|stream| read_slowly(stream, 16e6, BODY_BYTES));
+    let sidecar = Setup::new(vec![entry("s1", server, "up")]).start();
+    let (status, _) =
+        upload(&sidecar, "r1", &format!("Content-Length: {BODY_BYTES}"), &vec![b'x'; BODY_BYTES]);
+    assert_eq!(status, "HTTP/1.1 200");
+}
