--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -5,6 +5,7 @@
 mod memory;
 mod memory_report;
 mod receiving;
+mod recent_ids;
 mod streaming;
 
 use crate::line::SEND_BUFFER_BYTES;
@@ -35,6 +36,7 @@
 use memory::MemoryBudget;
 use memory_report::report_memory;
 use receiving::receive_body;
+use recent_ids::RecentIds;
 use rustc_hash::FxHashSet;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -139,6 +141,8 @@
     upload_permits: Arc<Semaphore>,
     /// The `X-Request-ID` values of the open requests.
     ids_in_use: RefCell<FxHashSet<HeaderValue>>,
+    /// Those of requests whose clients left lately.
+    abandoned_ids: RefCell<RecentIds>,
     next_id: Cell<u64>,
     stage: watch::Receiver<Stage>,
     /// Rate limiters for the log messages about requests refused at a limit and about malformed requests.
@@ -180,6 +184,7 @@
         request_permits,
         upload_permits,
         ids_in_use: RefCell::default(),
+        abandoned_ids: RefCell::default(),
         next_id: Cell::new(0),
         stage: stage.clone(),
         limit_log: LogLimiter::default(),
@@ -536,8 +541,10 @@
             log_limited!(self.limit_log, warn, "request refused: open request limit reached");
             return Ok(AnsweredRequest::refused());
         };
-        // Sending a duplicate of an open request would execute it twice, whichever client sent it.
-        if !self.ids_in_use.borrow_mut().insert(decoded.id.clone()) {
+        // Sending a duplicate of an open request would execute it twice, whichever client sent it; so would that of one
+        // whose client has left, as an attempt may still run.
+        let abandoned = self.abandoned_ids.borrow_mut().contains(&decoded.id, Instant::now());
+        if abandoned || !self.ids_in_use.borrow_mut().insert(decoded.id.clone()) {
             return Err(Malformed {
                 status: StatusCode::CONFLICT,
                 reason: "X-Request-ID is in use",
@@ -617,6 +624,7 @@
     fn drop(&mut self) {
         self.front.ids_in_use.borrow_mut().remove(&self.client_id);
         if !self.answered {
+            self.front.abandoned_ids.borrow_mut().insert(&self.client_id, Instant::now());
             self.front.engine.client_left(self.id);
         }
     }
--- a/crates/sidecar/tests/gone.rs
+++ b/crates/sidecar/tests/gone.rs
@@ -14,6 +14,7 @@
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::collections::HashSet;
+use std::io::Write;
 use std::net::Shutdown;
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex};
@@ -431,3 +432,59 @@
         closed.assert_no_late_attempt("left", [&server], "behind a request in flight");
     }
 }
+
+/// Guards against an effect that happens twice: the id of a request that was being processed came again after its client
+/// had left, and was sent to a server a second time.
+#[test]
+fn id_that_comes_again_after_its_client_left_does_not_run_again() {
+    for request in [once_request("r1"), pay_request("r1")] {
+        let server = FakeServer::start(|_, _| Action::Hang);
+        let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).long_timeouts().start();
+        let mut client = sidecar.connect();
+        client.send(&with_long_timeout(request.clone()));
+        server.requests.wait(1, "requests");
+        drop(client);
+        sidecar.wait_for_log("the client left");
+        assert_eq!(sidecar.request(&with_long_timeout(request)).status(), 409);
+        assert_eq!(server.request_count(), 1);
+    }
+}
+
+/// Requests that a client sends at once, far more than are served within that time.
+const FLOOD: usize = 20_000;
+/// Time without an attempt after which none is to come.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// Guards against requests sent on for a client that had closed its connection behind many that were still unread.
+#[test]
+fn requests_behind_a_close_are_not_sent() {
+    for (round, work) in [0, 30, 70].into_iter().enumerate() {
+        let server = FakeServer::start(move |_, _| {
+            thread::sleep(Duration::from_millis(work));
+            ok("x")
+        });
+        let known = vec![entry("s1", server.address, "up")];
+        let sidecar = Setup::new(known).set("/sidecar/log", json!("info")).start();
+        let mut client = sidecar.connect();
+        let seen = server.arrivals.len();
+        let flood: String = (0..FLOOD).map(|n| once_request(&format!("r{round}-{n}"))).collect();
+        client.stream.set_write_timeout(Some(QUIET)).unwrap();
+        // The rest finds no room, as the responses are not read.
+        let _ = client.stream.write_all(flood.as_bytes());
+        server.arrivals.wait(seen + 1, "attempts");
+        drop(client);
+        let closed = Instant::now();
+        let mut last = server.arrivals.len();
+        let mut quiet_since = Instant::now();
+        while quiet_since.elapsed() < QUIET {
+            assert!(closed.elapsed() < WAIT_TIMEOUT, "attempts go on");
+            if server.arrivals.len() != last {
+                last = server.arrivals.len();
+                quiet_since = Instant::now();
+            }
+            thread::yield_now();
+        }
+        let late = server.arrivals.all().iter().filter(|a| a.at > closed + MAX_ATTEMPT_DELAY).count();
+        assert_eq!(late, 0, "attempts that began after the close, with {work} ms of work");
+    }
+}
--- a/crates/sidecar/tests/slow_streams.rs
+++ b/crates/sidecar/tests/slow_streams.rs
@@ -213,3 +213,29 @@
         upload(&sidecar, "r1", &format!("Content-Length: {BODY_BYTES}"), &vec![b'x'; BODY_BYTES]);
     assert_eq!(status, "HTTP/1.1 200");
 }
+
+/// Guards against an attempt that begins after its client has closed: the rest of a body, still unread by then, was sent
+/// on to a server that read it slowly.
+#[test]
+fn upload_is_not_sent_on_after_its_client_closed() {
+    const BODY_BYTES: usize = 6_000_000;
+    let (ended, received) = std::sync::mpsc::channel();
+    let server = raw_server_with_small_buffers(move |mut stream| {
+        let mut total = 0;
+        let mut part = vec![0; 16_000];
+        while let Ok(count @ 1..) = stream.read(&mut part) {
+            total += count;
+            thread::sleep(Duration::from_secs_f64(count as f64 / 8e6));
+        }
+        let _ = ended.send(total);
+    });
+    let sidecar = Setup::new(vec![entry("s1", server, "up")]).start();
+    let mut stream = sidecar.connect().stream;
+    let length = format!("Content-Length: {BODY_BYTES}");
+    let head = once_request("r1").replace("Content-Length: 4", &length).replace("\r\n\r\nbody", "\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(&vec![b'x'; BODY_BYTES]).unwrap();
+    drop(stream);
+    let total = received.recv_timeout(WAIT_TIMEOUT).unwrap();
+    assert!(total < BODY_BYTES, "the server received the whole request");
+}
