The log tells why client connections ended, and how much of the memory is pages of files

The operators' records have the account and the resident memory, but neither what the process takes without clients nor how the connections of a crowd ended: bad ones that broke off and good ones that gave way look alike.

--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -2,6 +2,7 @@
 
 mod client_io;
 mod clients;
+mod connection_ends;
 mod memory;
 mod memory_report;
 mod receiving;
@@ -27,6 +28,7 @@
 use clients::{
     ClientConnection, ClientSlot, Clients, ConnectionSummary, DRAIN_TIMEOUT, Phase, Shortage, Termination,
 };
+use connection_ends::{ConnectionEnds, EndReason};
 use dunlincleat::api::RequestId;
 use dunlincleat_limits::RuleSet;
 use dunlincleat_settings::InstanceSettings;
@@ -174,6 +176,7 @@
         next_id: Cell::new(0),
         memory: MemoryBudget::new(options.max_client_memory_bytes),
         accepting: Cell::new(true),
+        ends: ConnectionEnds::default(),
     });
     let front = Rc::new(Front {
         active,
@@ -271,14 +274,19 @@
         tokio::select! {
             biased;
             end = &mut connection => {
-                match end {
+                let reason = match end {
                     Err(DispatchError::Parse(error)) => {
                         let line = format!("request not taken: malformed HTTP: {error}");
                         log_limited!(front.malformed_log, info, line);
+                        EndReason::Malformed
                     }
-                    Err(error) => tracing::debug!("client connection failed: {error}"),
-                    Ok(()) => {}
-                }
+                    Err(error) => {
+                        tracing::debug!("client connection failed: {error}");
+                        EndReason::Client
+                    }
+                    Ok(()) => EndReason::of_ended(&state),
+                };
+                front.clients.ends.count(reason);
                 return;
             }
             termination = poll_fn(|cx| state.poll_termination(&stream, cx)) => break termination,
@@ -294,6 +302,7 @@
             Ok(()) = stage.changed() => {}
         }
     };
+    front.clients.ends.count(termination.into());
     // Also drops the handler of its request, which notifies the engine.
     drop(connection);
     match termination {
--- a/crates/http/src/front/clients.rs
+++ b/crates/http/src/front/clients.rs
@@ -1,5 +1,6 @@
 //! Client connections: their phases, deadlines and eviction.
 
+use super::connection_ends::ConnectionEnds;
 use super::memory::{ConnectionMemory, MemoryBudget, MemoryUse};
 use crate::frame::request::RequestFramer;
 use crate::options::HttpOptions;
@@ -436,6 +437,8 @@
     pub(super) memory: Rc<MemoryBudget>,
     /// New connections are still accepted, so that eviction serves a purpose.
     pub(super) accepting: Cell<bool>,
+    /// Why connections ended.
+    pub(super) ends: ConnectionEnds,
 }
 
 impl Clients {
--- a/crates/http/src/front/memory_report.rs
+++ b/crates/http/src/front/memory_report.rs
@@ -19,6 +19,11 @@
     for reading in 1_u32.. {
         sleep(READ_INTERVAL).await;
         metrics.client_bytes.set(clients.memory.used());
+        if reading % READINGS_PER_LOG_LINE == 0
+            && let Some(line) = clients.ends.take_line()
+        {
+            tracing::info!("client connections ended: {line}");
+        }
         let Some(memory) = ResidentMemory::read() else { continue };
         metrics.resident_bytes.set(memory.current);
         let line = memory_line(memory, &clients);
@@ -32,8 +37,9 @@
 
 fn memory_line(memory: ResidentMemory, clients: &Clients) -> String {
     format!(
-        "memory: {} KiB resident, {} KiB at the peak; {} KiB held for {} client connections",
+        "memory: {} KiB resident ({} KiB of files), {} KiB at the peak; {} KiB held for {} client connections",
         memory.current >> 10,
+        memory.files >> 10,
         memory.peak >> 10,
         clients.memory.used() >> 10,
         clients.count()
--- a/crates/status/src/resident_memory.rs
+++ b/crates/status/src/resident_memory.rs
@@ -7,10 +7,12 @@
     pub current: usize,
     /// The highest so far.
     pub peak: usize,
+    /// The part of it now that are pages of files: the program and its libraries.
+    pub files: usize,
 }
 
 impl ResidentMemory {
-    /// Reads both; `None` where the system does not tell them.
+    /// Reads them; `None` where the system does not tell them.
     #[must_use]
     pub fn read() -> Option<ResidentMemory> {
         ResidentMemory::parse(&std::fs::read_to_string("/proc/self/status").ok()?)
@@ -21,7 +23,11 @@
             let value = status.lines().find_map(|line| line.strip_prefix(key))?;
             value.trim().strip_suffix(" kB")?.parse::<usize>().ok()
         };
-        Some(ResidentMemory { current: kibibytes("VmRSS:")? << 10, peak: kibibytes("VmHWM:")? << 10 })
+        Some(ResidentMemory {
+            current: kibibytes("VmRSS:")? << 10,
+            peak: kibibytes("VmHWM:")? << 10,
+            files: kibibytes("RssFile:")? << 10,
+        })
     }
 }
 
--- a/crates/status/src/resident_memory/tests.rs
+++ b/crates/status/src/resident_memory/tests.rs
@@ -3,9 +3,10 @@
 use super::*;
 
 #[test]
-fn both_figures_are_read_from_the_status_of_a_process() {
-    let status = "Name:\tx\nVmHWM:\t    9216 kB\nVmRSS:\t    8192 kB\n";
-    assert_eq!(ResidentMemory::parse(status), Some(ResidentMemory { current: 8 << 20, peak: 9 << 20 }));
+fn figures_are_read_from_the_status_of_a_process() {
+    let status = "Name:\tx\nVmHWM:\t    9216 kB\nVmRSS:\t    8192 kB\nRssFile:\t    2048 kB\n";
+    let expected = ResidentMemory { current: 8 << 20, peak: 9 << 20, files: 2 << 20 };
+    assert_eq!(ResidentMemory::parse(status), Some(expected));
     assert_eq!(ResidentMemory::parse("VmRSS:\t8192 kB\n"), None);
     assert!(ResidentMemory::read().is_some_and(|memory| memory.current > 0 && memory.peak > 0));
 }
