Freed memory goes back to the system: jemalloc in place of the system's allocator

What callers saw: a process over its limit in its second crowd. Tried before in thought only: malloc_trim and mallopt need unsafe code and leave holes within pages; a tunable in the environment would bind only the deploy file's own start.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+mod allocator;
 pub mod cli;
 mod config;
 pub mod logger;
