A server is not blamed for a body that its client stopped sending

The attempt now ends as NotSent where the server had accepted all that there was. A server that takes no more of the body is still blamed, after 5 s or at the deadline. Test: server_is_not_excluded_for_a_client_that_stops_within_its_body, 503 before, 200 now. Related paths checked: Body errors (a client that broke off) were NotSent before; a withdrawn attempt too.

--- a/crates/http/src/line/server_io.rs
+++ b/crates/http/src/line/server_io.rs
@@ -141,13 +141,17 @@
         loop {
             match self.stream.poll_write_ready(cx) {
                 Poll::Ready(ready) => ready?,
-                Poll::Pending => return self.poll_write_stalled(cx),
+                Poll::Pending => {
+                    self.state.write_blocked.set(true);
+                    return self.poll_write_stalled(cx);
+                }
             }
             match self.stream.try_write(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(n) => {
                     self.write_stall_timer = None;
+                    self.state.write_blocked.set(false);
                     self.state.bytes_sent.set(self.state.bytes_sent.get() + n);
                     if let Some(mut progress) = self.state.progress.get() {
                         if progress.record(&buf[..n], self.state.body_ended.get()) {
--- a/crates/http/src/line/state.rs
+++ b/crates/http/src/line/state.rs
@@ -18,6 +18,8 @@
     pub(super) bytes_sent: Cell<usize>,
     /// Write progress of the current attempt; `None` for a probe.
     pub(super) progress: Cell<Option<WriteProgress>>,
+    /// The server accepts no more of the request at the moment.
+    pub(super) write_blocked: Cell<bool>,
     /// The last chunk of a request body of unknown length has been handed to awc.
     pub(super) body_ended: Cell<bool>,
     /// The response has been received completely.
@@ -37,6 +39,7 @@
     /// Resets the state for a new attempt, or for a probe.
     pub fn begin(&self, attempt: Option<WriteProgress>) {
         self.bytes_sent.set(0);
+        self.write_blocked.set(false);
         self.body_ended.set(false);
         self.progress.set(attempt);
         self.withdrawn.set(false);
@@ -113,6 +116,11 @@
         self.bytes_sent.get() > 0 && self.progress.get().is_none_or(|progress| progress.is_complete())
     }
 
+    /// Whether the server has accepted all that there was of an incomplete request.
+    pub fn awaits_request(&self) -> bool {
+        !self.nothing_sent() && !self.write_blocked.get() && !self.request_written()
+    }
+
     /// `status` if the request was written completely; otherwise the status that says that it can't have run.
     pub fn status_if_written(&self, status: Status) -> Status {
         if self.request_written() { status } else { Status::ConnectFailed }
--- a/crates/http/src/peer/exchange.rs
+++ b/crates/http/src/peer/exchange.rs
@@ -206,6 +206,10 @@
         Some(Err(status)) => {
             ExchangeResult::failed(classify_failure(status, endpoint, &connection.state, context))
         }
+        // Its client was too slow: the server, which can't run it, is not at fault.
+        None if body.upload.borrow().is_some() && connection.state.awaits_request() => {
+            ExchangeResult::failed(Status::NotSent)
+        }
         None => ExchangeResult::failed(connection.state.status_if_written(Status::Timeout)),
     }
 }
--- a/crates/sidecar/tests/gone.rs
+++ b/crates/sidecar/tests/gone.rs
@@ -488,3 +488,36 @@
         assert_eq!(late, 0, "attempts that began after the close, with {work} ms of work");
     }
 }
+
+/// Bytes of a body that is streamed to its server, and how many of them its client sends.
+const STOPPED_BODY_BYTES: usize = 400_000;
+const SENT_OF_STOPPED_BODY: usize = 150_000;
+/// Clients that stop within such a body.
+const STOPPING_CLIENTS: usize = 8;
+
+/// Guards against good clients locked out: a body that its client stopped sending counted as a server that could not be
+/// reached, so that a few such clients had all servers excluded.
+#[test]
+fn server_is_not_excluded_for_a_client_that_stops_within_its_body() {
+    let server = FakeServer::start(|_, _| ok("x"));
+    let sidecar = Setup::new(vec![entry("s1", server.address, "up")]).start();
+    let mut clients: Vec<Client> = (0..STOPPING_CLIENTS)
+        .map(|number| {
+            let mut client = sidecar.connect();
+            let head =
+                once_request(&format!("stops{number}")).replace("X-Timeout: 0.9", "X-Timeout: 0.3").replace(
+                    "Content-Length: 4\r\n\r\nbody",
+                    &format!("Content-Length: {STOPPED_BODY_BYTES}\r\n\r\n"),
+                );
+            client.send(&(head + &"b".repeat(SENT_OF_STOPPED_BODY)));
+            client
+        })
+        .collect();
+    for client in &mut clients {
+        let status = client.read_response_or_close().map(|response| response.status());
+        assert!(status.is_none_or(|status| status >= 400), "{status:?}");
+    }
+    for number in 0..STOPPING_CLIENTS {
+        assert_eq!(sidecar.request(&once_request(&format!("good{number}"))).status(), 200);
+    }
+}
