Long responses have places of their own; requests wait a moment for theirs, in order

What callers saw: beside 500 clients that read long answers slowly 83 of 544 good requests were served, the others 503. Cause: a response that is streamed kept the place of its request until its client had read it. It now moves to a place of its own, as many again as there are for requests; beyond these it keeps its request's place while half of them are free, and is turned down otherwise: 503 for a request that may be repeated, 502 for any other.

--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -144,6 +144,8 @@
     request_permits: Arc<Semaphore>,
     /// One permit for each further of these whose body is still being received: slow clients leave room for others.
     upload_permits: Arc<Semaphore>,
+    /// One permit for each further response that may be streamed.
+    stream_permits: Arc<Semaphore>,
     /// The `X-Request-ID` values of the open requests.
     ids_in_use: RefCell<FxHashSet<HeaderValue>>,
     /// Those of requests whose clients left lately.
@@ -173,6 +175,7 @@
     let connections = Arc::new(Semaphore::new(limit));
     let request_permits = Arc::new(Semaphore::new(options.max_requests));
     let upload_permits = Arc::new(Semaphore::new((options.max_requests / 2).max(1)));
+    let stream_permits = Arc::new(Semaphore::new(options.max_requests));
     let clients = Rc::new(Clients {
         options: options.clone(),
         connections: RefCell::default(),
@@ -189,6 +192,7 @@
         clients: clients.clone(),
         request_permits,
         upload_permits,
+        stream_permits,
         ids_in_use: RefCell::default(),
         abandoned_ids: RefCell::default(),
         next_id: Cell::new(0),
@@ -430,11 +434,11 @@
     } else {
         match front.accept_request(&mut request, state.as_ref()).await {
             Ok(AnsweredRequest { answer, permit }) => {
+                let (answer, permit) = front.place_answer(answer, permit, request.method());
+                streaming_permit = permit;
                 match &answer {
                     // Counted by the `ResponseGuard` when the response ends.
-                    Answer::Served(ResponseBody { data: BodyData::Streaming { .. }, .. }) => {
-                        streaming_permit = permit
-                    }
+                    Answer::Served(ResponseBody { data: BodyData::Streaming { .. }, .. }) => {}
                     Answer::Served(_) => outcomes.served.increment(),
                     Answer::Refused { .. } => outcomes.refused.increment(),
                     Answer::Failed => outcomes.failed.increment(),
@@ -534,16 +538,15 @@
         class.cloned().unwrap_or_default()
     }
 
-    /// Acquires a place among the open requests. At the limit, a request whose client makes no progress gives way.
+    /// Acquires a place among the open requests. At the limit, a request whose client makes no progress gives way; requests
+    /// wait a moment, in the order in which they came: refused at once, those of a client that sends hundreds took each
+    /// place that became free.
     async fn acquire_request_permit(&self) -> Option<OwnedSemaphorePermit> {
         let permits = &self.request_permits;
         if let Ok(permit) = permits.clone().try_acquire_owned() {
             return Some(permit);
         }
-        if !self.clients.evict_stalled(Shortage::OpenRequests, Instant::now()) {
-            return None;
-        }
-        // The task of an evicted connection releases the place.
+        self.clients.evict_stalled(Shortage::OpenRequests, Instant::now());
         timeout(PLACE_TIMEOUT, permits.clone().acquire_owned()).await.ok()?.ok()
     }
 
@@ -567,6 +570,38 @@
         permit
     }
 
+    /// The place of a response that is streamed from here on: one of those for long responses, so that clients that read
+    /// slowly leave the places of requests to others. Without a free one it keeps that of its request, as long as half of
+    /// these are free and there is memory.
+    fn place_for_stream(&self, request_permit: OwnedSemaphorePermit) -> Option<OwnedSemaphorePermit> {
+        if let Ok(permit) = self.stream_permits.clone().try_acquire_owned() {
+            return Some(permit);
+        }
+        self.clients.evict_stalled(Shortage::OpenRequests, Instant::now());
+        let half_free = 2 * self.request_permits.available_permits() >= self.options.max_requests;
+        let has_room = half_free && self.clients.memory.pressure.has_room_to_hold(0);
+        has_room.then_some(request_permit)
+    }
+
+    /// An answer that is streamed with its place; any other one gives its place back. A long response for which there is no
+    /// place is turned down: that of a request that may be repeated as refused, any other one as failed.
+    fn place_answer(
+        &self,
+        answer: Answer,
+        permit: Option<OwnedSemaphorePermit>,
+        method: &Method,
+    ) -> (Answer, Option<OwnedSemaphorePermit>) {
+        let Answer::Served(ResponseBody { data: BodyData::Streaming { .. }, .. }) = answer else {
+            return (answer, None);
+        };
+        if let Some(permit) = permit.and_then(|permit| self.place_for_stream(permit)) {
+            return (answer, Some(permit));
+        }
+        log_limited!(self.limit_log, warn, "response turned down: limit of long responses reached");
+        let repeatable = *method == Method::GET;
+        (if repeatable { Answer::Refused { retry_after: None } } else { Answer::Failed }, None)
+    }
+
     /// Waits a moment until a connection may hold the memory of a request; returns whether it does. At the limit, one that
     /// serves no request is evicted for it.
     async fn wait_for_request_memory(&self, state: &ClientConnection) -> bool {
