Front: admission and eviction in modules of their own; only bodies that still come are slow

One change: a request that was received completely and waits for its place is no slow body, and does not give way as one; its test, which also covers that the slowest of many bodies does, fails without it.

--- a/crates/http/src/front/clients.rs
+++ b/crates/http/src/front/clients.rs
@@ -1,6 +1,7 @@
-//! Client connections: their phases, deadlines and eviction.
+//! Client connections: their phases, what they hold, and their deadlines.
 
 use super::connection_ends::ConnectionEnds;
+use super::eviction::Shortage;
 use super::memory::{Account, ConnectionMemory, MemoryBudget, MemoryUse};
 use crate::frame::request::RequestFramer;
 use crate::options::HttpOptions;
@@ -17,18 +18,6 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::time::Instant;
 
-/// At the connection limit, the age from which an idle connection may be evicted.
-const EVICT_IDLE_AFTER: Duration = Duration::from_secs(2);
-/// At the connection limit, the age from which a connection without a complete request may be evicted.
-const EVICT_INCOMPLETE_AFTER: Duration = Duration::from_millis(200);
-/// At the connection limit, the age from which the slowest of many bodies may be evicted.
-const EVICT_SLOW_BODY_AFTER: Duration = Duration::from_millis(50);
-/// At a shortage, the time without a byte from which a connection with an incomplete request may be evicted.
-const EVICT_STALLED_REQUEST_AFTER: Duration = Duration::from_millis(200);
-/// At a shortage, the time without a byte from which a connection whose body is streamed to a server may be evicted.
-const EVICT_STALLED_UPLOAD_AFTER: Duration = Duration::from_secs(1);
-/// At a shortage, the time without a byte from which a connection whose client takes no response may be evicted.
-const EVICT_STALLED_RESPONSE_AFTER: Duration = Duration::from_secs(10);
 /// Maximum number of bytes buffered from a client that keeps sending while its request is processed, and read from
 /// one that was rejected.
 pub(super) const MAX_BUFFERED_BYTES: usize = 64 * 1024;
@@ -60,17 +49,6 @@
     Rejected,
 }
 
-/// What other clients lack, so that a connection without progress is evicted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Shortage {
-    /// Memory for what is received of requests.
-    Receiving,
-    /// Memory for responses that clients do not take.
-    Responding,
-    /// Places of open requests.
-    OpenRequests,
-}
-
 /// The phase of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -330,7 +308,7 @@
 
     /// The extra time granted for the bytes of the body received so far, so that a slow client that keeps sending is
     /// not cut off.
-    fn earned_time(&self) -> Duration {
+    pub(super) fn earned_time(&self) -> Duration {
         Duration::from_secs_f64(self.phase_bytes.get() as f64 / MIN_UPLOAD_BYTES_PER_S)
     }
 
@@ -363,35 +341,6 @@
         }
     }
 
-    /// How suitable the connection is for eviction: idle connections first, then those without a complete request,
-    /// the oldest first.
-    fn eviction_rank(&self, now: Instant) -> Option<EvictionRank> {
-        if self.closing_since.get().is_some() || self.is_write_blocked() {
-            return None;
-        }
-        let age = now - self.phase_since.get();
-        let (rank, min_age) = match self.phase.get() {
-            Phase::Idle => (EvictionRank::Idle(age), EVICT_IDLE_AFTER),
-            Phase::Connected | Phase::ReadingHead => (EvictionRank::Incomplete(age), EVICT_INCOMPLETE_AFTER),
-            Phase::ReadingBody if !self.streams_body.get() => {
-                (EvictionRank::Incomplete(age), EVICT_INCOMPLETE_AFTER + self.earned_time())
-            }
-            Phase::ReadingBody | Phase::Processing | Phase::Draining => return None,
-        };
-        (age >= min_age).then_some(rank)
-    }
-
-    /// The time for each byte received of a body that is buffered, once it can be told.
-    fn slowness(&self, now: Instant) -> Option<Duration> {
-        let receiving = self.phase.get() == Phase::ReadingBody
-            && !self.streams_body.get()
-            && self.closing_since.get().is_none()
-            && self.termination.get().is_none();
-        let age = now - self.phase_since.get();
-        let bytes = u32::try_from(self.phase_bytes.get()).unwrap_or(u32::MAX).max(1);
-        (receiving && age >= EVICT_SLOW_BODY_AFTER).then(|| age / bytes)
-    }
-
     /// The client has closed. Its request is withdrawn, as no answer can reach it.
     pub(super) fn set_peer_closed(&self) {
         self.peer_closed.set(true);
@@ -406,52 +355,6 @@
         self.wake.notify_one();
     }
 
-    /// How long the client has neither sent nor taken anything, where that is long enough to evict its connection and
-    /// that makes up for the shortage.
-    fn stalled_for(&self, shortage: Shortage, now: Instant) -> Option<Duration> {
-        let makes_up = match shortage {
-            Shortage::Receiving => self.memory.counted(Account::Receiving) > 0,
-            Shortage::Responding => self.memory.counted(Account::Responding) > 0,
-            Shortage::OpenRequests => true,
-        };
-        if self.termination.get().is_some() || !makes_up {
-            return None;
-        }
-        if let Some(since) = self.write_blocked_since.get() {
-            return Some(now - since).filter(|stalled| *stalled >= EVICT_STALLED_RESPONSE_AFTER);
-        }
-        let stalled = now - self.received_at.get();
-        let waits_for_client = match (self.phase.get(), shortage) {
-            (Phase::ReadingBody, Shortage::OpenRequests) => {
-                self.holds_upload_place.get() && stalled >= EVICT_STALLED_UPLOAD_AFTER && self.awaits_body()
-            }
-            (Phase::Connected | Phase::ReadingHead, Shortage::Receiving) => {
-                stalled >= EVICT_STALLED_REQUEST_AFTER
-            }
-            (Phase::ReadingBody, Shortage::Receiving) => {
-                !self.streams_body.get() && stalled >= EVICT_STALLED_REQUEST_AFTER && self.awaits_body()
-            }
-            (Phase::Connected | Phase::ReadingHead, Shortage::OpenRequests)
-            | (Phase::Connected | Phase::ReadingHead | Phase::ReadingBody, Shortage::Responding)
-            | (Phase::Processing | Phase::Idle | Phase::Draining, _) => false,
-        };
-        waits_for_client.then_some(stalled)
-    }
-
-    /// Whether more of the body may be received and has not come.
-    fn awaits_body(&self) -> bool {
-        let framer = self.framer.borrow();
-        !framer.is_complete() && !framer.is_window_closed()
-    }
-
-    /// Ends the connection for what it holds, which counts until its task has freed it. No part of an incomplete request has
-    /// run.
-    fn evict(&self) {
-        let left = self.is_write_blocked();
-        self.terminate(if left { Termination::ClientLeft } else { Termination::Refused });
-        self.memory.start_release();
-    }
-
     /// Frees what was received and what is buffered, where nothing of it is needed any more.
     pub(super) fn release_memory(&self) {
         self.framer.take();
@@ -459,15 +362,6 @@
     }
 }
 
-/// How suitable a connection is for eviction; the highest rank is evicted first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum EvictionRank {
-    /// No complete request was received for this time.
-    Incomplete(Duration),
-    /// Idle for this time.
-    Idle(Duration),
-}
-
 /// All client connections.
 pub(super) struct Clients {
     pub(super) options: Rc<HttpOptions>,
@@ -503,41 +397,10 @@
         4 * self.connections.borrow().len() >= 3 * self.options.client_connection_limit().max(4)
             || self.memory.is_scarce(Account::Connections)
     }
-
-    /// Asks the connection with the highest eviction rank to close; returns whether there was one.
-    pub(super) fn evict_one(&self, now: Instant) -> bool {
-        let connections = self.connections.borrow();
-        let candidates = connections.values().filter_map(|state| Some((state.eviction_rank(now)?, state)));
-        let oldest = candidates.max_by_key(|(rank, _)| *rank).map(|(_, state)| state);
-        let Some(state) = oldest.or_else(|| slowest_of_many_bodies(&connections, now)) else { return false };
-        state.request_close();
-        true
-    }
-
-    /// Ends the connection that has made no progress for longest, of those that make up for the shortage; returns whether
-    /// there was one.
-    pub(super) fn evict_stalled(&self, shortage: Shortage, now: Instant) -> bool {
-        let connections = self.connections.borrow();
-        let stalled =
-            connections.values().filter_map(|state| Some((state.stalled_for(shortage, now)?, state)));
-        let Some((_, state)) = stalled.max_by_key(|(stalled, _)| *stalled) else { return false };
-        state.evict();
-        true
-    }
 }
 
-type Connections = FxHashMap<u64, Rc<ClientConnection>>;
-
-/// The part of the connections from which bodies that are being received count as many.
-const MANY_BODIES_DIVISOR: usize = 4;
-
-/// The connection whose body comes slowest, if many are being received: clients that write slowly must not lock out all
-/// others.
-fn slowest_of_many_bodies(connections: &Connections, now: Instant) -> Option<&Rc<ClientConnection>> {
-    let slow = || connections.values().filter_map(|state| Some((state.slowness(now)?, state)));
-    let many = MANY_BODIES_DIVISOR * slow().count() >= connections.len();
-    many.then(|| slow().max_by_key(|(slowness, _)| *slowness)).flatten().map(|(_, state)| state)
-}
+/// The open connections by number.
+pub(super) type Connections = FxHashMap<u64, Rc<ClientConnection>>;
 
 /// Number of connections in each phase, for the log.
 pub(super) struct ConnectionSummary<'a>(pub(super) &'a Clients);
--- a/crates/http/src/front/clients/tests.rs
+++ b/crates/http/src/front/clients/tests.rs
@@ -67,3 +67,35 @@
     client.after_sweep(now);
     assert_eq!(client.termination.get(), Some(Termination::ClientLeft));
 }
+
+/// Guards against clients locked out by others that write slowly: where many bodies are being received and nothing else
+/// may give way, the slowest one does, and no request that was received completely.
+#[test]
+fn slowest_of_many_bodies_gives_way() {
+    let options = Rc::new(options());
+    let clients = Rc::new(Clients {
+        memory: MemoryBudget::new(&options),
+        options,
+        connections: RefCell::default(),
+        next_id: Cell::new(0),
+        accepting: Cell::new(true),
+        ends: ConnectionEnds::default(),
+    });
+    let places = std::sync::Arc::new(tokio::sync::Semaphore::new(3));
+    let slots: Vec<ClientSlot> =
+        (0..3).map(|_| clients.register(places.clone().try_acquire_owned().unwrap())).collect();
+    let now = Instant::now() + Duration::from_millis(100);
+    assert!(!clients.evict_one(now), "silent connections have longer");
+    for (slot, received) in slots.iter().zip([9_000, 10, 0]) {
+        slot.state.start_body(Some(10_000));
+        slot.state.phase_bytes.set(received);
+    }
+    // The request of the third connection was received completely and waits for its place.
+    let mut framer = slots[2].state.framer.borrow_mut();
+    framer.append_input(b"GET / HTTP/1.1\r\n\r\n");
+    framer.parse_input().unwrap();
+    drop(framer);
+    assert!(clients.evict_one(now));
+    let evicted = |slot: &ClientSlot| slot.state.closing_since.get().is_some();
+    assert_eq!(slots.iter().map(evicted).collect::<Vec<_>>(), [false, true, false]);
+}
