--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -174,8 +174,11 @@
     let stopped = move |stage: &Stage| *stage >= Stage::ListenerClosed || shared && stage.is_shutting_down();
     let connections = Arc::new(Semaphore::new(limit));
     let request_permits = Arc::new(Semaphore::new(options.max_requests));
-    let upload_permits = Arc::new(Semaphore::new((options.max_requests / 2).max(1)));
-    let stream_permits = Arc::new(Semaphore::new(options.max_requests));
+    let max_uploads = (options.max_requests / 2).min(options.max_client_connections / 4).max(1);
+    let upload_permits = Arc::new(Semaphore::new(max_uploads));
+    // Long bodies and responses together leave a quarter of the connections to others.
+    let max_streams = options.max_requests.min(options.max_client_connections / 2).max(1);
+    let stream_permits = Arc::new(Semaphore::new(max_streams));
     let clients = Rc::new(Clients {
         options: options.clone(),
         connections: RefCell::default(),
--- a/crates/http/src/front/admission.rs
+++ b/crates/http/src/front/admission.rs
@@ -68,7 +68,7 @@
 
     /// The place of a response that is streamed from here on: one of those for long responses, so that clients that read
     /// slowly leave the places of requests to others. Without a free one it keeps that of its request, as long as half of
-    /// these are free and there is memory.
+    /// these are free, and neither connections nor memory are scarce.
     pub(super) fn place_for_stream(
         &self,
         request_permit: OwnedSemaphorePermit,
@@ -78,7 +78,8 @@
         }
         self.clients.evict_stalled(Shortage::OpenRequests, Instant::now());
         let half_free = 2 * self.request_permits.available_permits() >= self.options.max_requests;
-        let has_room = half_free && self.clients.memory.pressure.has_room_to_hold(0);
+        let has_room =
+            half_free && !self.clients.is_crowded() && self.clients.memory.pressure.has_room_to_hold(0);
         has_room.then_some(request_permit)
     }
 
--- a/crates/http/src/front/eviction.rs
+++ b/crates/http/src/front/eviction.rs
@@ -140,7 +140,7 @@
 }
 
 /// The part of the connections from which bodies that are being received count as many.
-const MANY_BODIES_DIVISOR: usize = 4;
+const MANY_BODIES_DIVISOR: usize = 8;
 
 /// The connection whose body comes slowest, if many are being received: clients that write slowly must not lock out all
 /// others.
--- a/crates/http/src/front/memory_pressure.rs
+++ b/crates/http/src/front/memory_pressure.rs
@@ -78,3 +78,6 @@
         reading.resident + reading.growth
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sidecar/tests/crowd/bad_client.rs
+++ b/crates/sidecar/tests/crowd/bad_client.rs
@@ -14,6 +14,8 @@
 const RECONNECT_AFTER: Duration = Duration::from_millis(60);
 /// Bytes read or written at once by a client that knows no pace.
 const FULL_SPEED_BYTES: usize = 64 * 1024;
+/// Bytes of a chunk of a long body.
+const CHUNK_BYTES: usize = 1_000;
 /// Receive buffer of a client that reads slowly, in bytes.
 const SLOW_READER_BUFFER: usize = 16 * 1024;
 
@@ -40,6 +42,10 @@
     SlowReader,
     /// Sends hundreds of requests at once.
     Pipeline,
+    /// Sends requests for large responses at once and reads these slowly.
+    SlowPipeline,
+    /// Sends a long body in chunks and stops.
+    ChunkedUpload,
     /// Sends whole requests with large bodies without a pause.
     FullBodies,
     /// Sends nothing.
@@ -49,7 +55,7 @@
 }
 
 impl Kind {
-    pub const ALL: [Kind; 13] = [
+    pub const ALL: [Kind; 15] = [
         Kind::HalfBody,
         Kind::SlowBody,
         Kind::HalfUpload,
@@ -60,12 +66,21 @@
         Kind::SlowHead,
         Kind::SlowReader,
         Kind::Pipeline,
+        Kind::SlowPipeline,
+        Kind::ChunkedUpload,
         Kind::FullBodies,
         Kind::Silent,
         Kind::Noise,
     ];
 }
 
+impl Kind {
+    /// Whether it reads its responses slowly.
+    fn reads_slowly(self) -> bool {
+        matches!(self, Kind::SlowReader | Kind::SlowPipeline)
+    }
+}
+
 /// A number of bytes each interval; all at once without one.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
@@ -107,6 +122,8 @@
             Kind::TinyChunks => (0, rng.random_range(2_000..=60_000)),
             Kind::HalfHead | Kind::SlowHead => (0, rng.random_range(1_000..=15_500)),
             Kind::SlowReader => (rng.random_range(100_000..=6_000_000), 0),
+            Kind::SlowPipeline => (rng.random_range(5_000..=65_000), 0),
+            Kind::ChunkedUpload => (0, streamed / CHUNK_BYTES * CHUNK_BYTES),
             Kind::Pipeline | Kind::Silent => (0, 0),
             Kind::Noise => (0, rng.random_range(100..=40_000)),
         };
@@ -117,12 +134,13 @@
             length,
             count: match kind {
                 Kind::ManyFields => rng.random_range(40..=88),
+                Kind::SlowPipeline => rng.random_range(10..=60),
                 Kind::Pipeline => rng.random_range(50..=400),
                 Kind::FullBodies => rng.random_range(1..=6),
                 _ => 1,
             },
             write: if writes_slowly { slow } else { FULL_SPEED },
-            read: if kind == Kind::SlowReader { slow } else { FULL_SPEED },
+            read: if kind.reads_slowly() { slow } else { FULL_SPEED },
         }
     }
 
@@ -132,6 +150,10 @@
             Kind::HalfBody | Kind::SlowBody | Kind::HalfUpload | Kind::SlowUpload | Kind::ManyFields => {
                 vec![b'b'; self.sent].into()
             }
+            Kind::ChunkedUpload => {
+                let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "b".repeat(CHUNK_BYTES));
+                chunk.repeat(self.sent / CHUNK_BYTES).into_bytes().into()
+            }
             Kind::TinyChunks => "1\r\nb\r\n".repeat(self.sent).into_bytes().into(),
             _ => Arc::default(),
         }
@@ -147,13 +169,16 @@
                 let fields: String = (0..self.count).map(|field| format!("{field}:\r\n")).collect();
                 post_head(id, &format!("{fields}Content-Length: {}", self.length))
             }
-            Kind::TinyChunks => post_head(id, "Transfer-Encoding: chunked"),
+            Kind::TinyChunks | Kind::ChunkedUpload => post_head(id, "Transfer-Encoding: chunked"),
             Kind::HalfHead | Kind::SlowHead => {
                 post_head(id, "Content-Length: 4").trim_end().to_owned()
                     + "\r\nX-Long: "
                     + &"h".repeat(self.sent)
             }
             Kind::SlowReader => get_head(id, &format!("/read/{}", self.length)),
+            Kind::SlowPipeline => (0..self.count as u64)
+                .map(|n| get_head(id + (n << 48), &format!("/read/{}", self.length)))
+                .collect(),
             Kind::Pipeline => (0..self.count as u64).map(|n| get_head(id + (n << 48), "/read")).collect(),
             Kind::FullBodies => (0..self.count as u64)
                 .map(|n| {
@@ -250,7 +275,7 @@
 
     fn open(&self, listen: SocketAddr) -> std::io::Result<TcpStream> {
         let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
-        if self.behaviour.kind == Kind::SlowReader {
+        if self.behaviour.kind.reads_slowly() {
             socket.set_recv_buffer_size(SLOW_READER_BUFFER)?;
         }
         socket.connect_timeout(&listen.into(), CONNECT_TIMEOUT)?;
--- a/crates/sidecar/tests/crowd/plan.rs
+++ b/crates/sidecar/tests/crowd/plan.rs
@@ -10,7 +10,7 @@
 /// Memory limits in MiB; the first is the least that the deployment names.
 const MEMORY_LIMITS_MIB: [usize; 5] = [32, 32, 48, 64, 96];
 /// Limits of descriptors.
-const DESCRIPTOR_LIMITS: [usize; 4] = [1024, 1024, 768, 512];
+const DESCRIPTOR_LIMITS: [usize; 5] = [1024, 1024, 768, 512, 256];
 /// Number of different behaviours in a mixed crowd, at most.
 const MAX_BEHAVIOURS: usize = 6;
 
--- a/crates/sidecar/tests/drawn_crowds.rs
+++ b/crates/sidecar/tests/drawn_crowds.rs
@@ -88,6 +88,15 @@
     assert_borne([1000, 1001, 1002, 1004].into_iter().map(CrowdPlan::draw));
 }
 
+/// Guards against good clients locked out where there are few descriptors: long responses and uploads held two thirds of
+/// all connections.
+#[test]
+fn mixed_crowd_with_few_descriptors_is_borne() {
+    let seed = 4015;
+    let plan = CrowdPlan::draw(seed);
+    assert_borne([CrowdPlan { memory_mib: 48, descriptors: 256, ..plan }].into_iter());
+}
+
 /// Sizes and rates at which a process passed its limit, or refused nearly all good clients.
 fn recorded_behaviours() -> Vec<Behaviour> {
     let pace = Pace { bytes: 4_000, every: Duration::from_micros(62_500) };
