--- a/crates/http/src/front/clients.rs
+++ b/crates/http/src/front/clients.rs
@@ -152,6 +152,7 @@
         let before = self.phase.replace(phase);
         if phase == Phase::Idle {
             self.framer.borrow_mut().expect_request();
+            self.memory.release_request();
         }
         if matches!(phase, Phase::Idle | Phase::Draining) {
             self.memory.set(MemoryUse::Body, 0);
--- a/crates/http/src/front/memory.rs
+++ b/crates/http/src/front/memory.rs
@@ -14,7 +14,7 @@
 /// What a connection holds memory for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum MemoryUse {
-    /// The connection itself, with a small request from its first one on.
+    /// The connection itself, with its small request if it has one.
     Connection,
     /// Bytes received that are framed, decoded or wait for their turn.
     Input,
@@ -138,7 +138,7 @@
         memory
     }
 
-    /// Holds the memory of a small request, which stays with the connection; returns whether there is room for it.
+    /// Holds the memory of a small request until it has been answered; returns whether there is room for it.
     pub(super) fn try_hold_request(&self) -> bool {
         self.try_set(MemoryUse::Connection, CLIENT_CONNECTION_BYTES + CLIENT_REQUEST_BYTES)
     }
@@ -148,6 +148,14 @@
         self.set(MemoryUse::Connection, CLIENT_CONNECTION_BYTES + CLIENT_REQUEST_BYTES);
     }
 
+    /// Gives back the memory of a small request, which has been answered.
+    pub(super) fn release_request(&self) {
+        if self.held(MemoryUse::Connection) > CLIENT_CONNECTION_BYTES {
+            self.set(MemoryUse::Connection, CLIENT_CONNECTION_BYTES);
+            self.budget.request_freed.notify_one();
+        }
+    }
+
     /// The bytes that count in an account, which become free when the connection gives up what it holds.
     pub(super) fn counted(&self, account: Account) -> usize {
         self.counted[account as usize].get()
--- a/crates/http/src/front/memory/tests.rs
+++ b/crates/http/src/front/memory/tests.rs
@@ -41,7 +41,9 @@
     assert!(first.try_set(MemoryUse::Body, SMALL + 10_000) && budget.is_exhausted(Account::Receiving));
     assert!(second.try_hold_request() && second.try_hold_request(), "a request is held once");
     assert!(!first.try_hold_request());
-    first.hold_request();
+    second.release_request();
+    assert!(first.try_hold_request(), "an answered request is not held any more");
+    second.hold_request();
     drop((first, second));
     assert_eq!(budget.used(), 0);
 }
--- a/crates/http/src/options.rs
+++ b/crates/http/src/options.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Memory of a client connection on which no request was received, in bytes: its task, its framer, and the buffers and the
-/// state of actix-http.
+/// Memory of a client connection without a request, in bytes: its task, its framer, and the buffers and the state of
+/// actix-http.
 pub const CLIENT_CONNECTION_BYTES: usize = 24 * 1024;
-/// What a connection takes beyond that from its first request on, in bytes: the decoded head, and the buffers that
+/// What a small request takes beyond that, in bytes: the decoded head, and the buffers that
 /// actix-http replaces while parts of them are in use.
 pub const CLIENT_REQUEST_BYTES: usize = 32 * 1024;
 /// Memory of a connection to a server with a small response, in bytes: its framer and the buffers and the state of awc.
