The lab's stand-in gets its list before it is told to serve

What was seen: control_counts_written_bytes_and_filters_by_service failed once in four suites, and in 3 of 40 plays of its program, after 60 s. Cause: its start told the stand-in to serve before it gave it the list, so that a call in between was answered with revision 0 (made on purpose: 3 of 3), for which the test does not wait.

--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -117,9 +117,10 @@
         let at = SocketAddr::from((Ipv4Addr::new(127, 30, 0, 1), port));
         let mut control = Control { process, commands, counts: counts.clone(), at };
         let addresses: Vec<(u8, SocketAddr)> = (0..3).map(|n| (n, control.address(n))).collect();
-        control.send(&serde_json::json!({"serve": addresses}));
+        // Before it serves: a call in between would be told an empty list of revision 0.
         let all = [entry("s-1", "pay", "up"), entry("s-2", "book", "up")];
         control.send(&serde_json::json!({"list": {"rev": 5, "entries": all}}));
+        control.send(&serde_json::json!({"serve": addresses}));
         assert_eq!(lines.find(|line| line.contains("serves")).as_deref(), Some("{\"serves\":3}"));
         std::thread::spawn(move || {
             for line in lines {
